--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/cli/Main.kt
@@ -0,0 +1,21 @@
+package dev.jackdawdale.cli
+
+import kotlin.system.exitProcess
+import picocli.CommandLine
+import picocli.CommandLine.Command
+
+/** The root command of the one program: every role and every operator command hangs below it. */
+@Command(
+    name = "jackdawdale",
+    description = ["A cluster scheduler for services, batch jobs, gangs and short requests."],
+    mixinStandardHelpOptions = true,
+    version = ["jackdawdale 0.1.0"]
+)
+internal class RootCommand
+
+internal fun rootCommandLine(): CommandLine = CommandLine(RootCommand())
+
+/** Runs one command and exits with its status. */
+fun main(args: Array<String>) {
+    exitProcess(rootCommandLine().execute(*args))
+}
