--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/bench/Main.kt
@@ -0,0 +1,22 @@
+package dev.jackdawdale.bench
+
+import kotlin.system.exitProcess
+
+private const val DEFAULT_SEED = 20261204L
+
+/** A measurement: takes a seed, reports each figure as soon as it is known. */
+private typealias Measurement = (seed: Long, report: (Figure) -> Unit) -> Unit
+
+private val measurements: Map<String, Measurement> = mapOf()
+
+/** Runs the measurement named by the first argument, or all of them. */
+fun main(args: Array<String>) {
+    val name = args.firstOrNull()
+    val seed = args.getOrNull(1)?.toLongOrNull() ?: DEFAULT_SEED
+    val chosen = if (name == null) measurements else measurements.filterKeys { it == name }
+    if (chosen.isEmpty()) {
+        System.err.println("unknown measurement \"$name\"; known: ${measurements.keys}")
+        exitProcess(2)
+    }
+    chosen.values.forEach { measure -> measure(seed) { println(it.line()) } }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/model/AppliedMembers.kt
@@ -0,0 +1,49 @@
+package dev.jackdawdale.model
+
+import kotlinx.collections.immutable.minus
+
+internal fun CellState.applyEndpointJoined(event: Event.EndpointJoined): CellState {
+    val info = event.info
+    val known = endpoints[info.endpointId]
+    val sameProcess = known != null && known.info.incarnation == info.incarnation
+    val joined = when {
+        known == null -> Endpoint(info)
+        sameProcess -> known.copy(info = info)
+        else -> known.copy(info = info, phase = phaseAfterRestart(known.phase))
+    }
+    return copy(endpoints = endpoints.put(info.endpointId, joined))
+}
+
+/** An operator's stop outlives a restart of the endpoint; everything else starts afresh. */
+private fun phaseAfterRestart(phase: EndpointPhase): EndpointPhase =
+    if (phase == EndpointPhase.STOPPED) EndpointPhase.STOPPED else EndpointPhase.ACTIVE
+
+internal fun CellState.applyEndpointPhaseChanged(event: Event.EndpointPhaseChanged): CellState {
+    val endpoint = endpoints[event.endpointId] ?: return this
+    if (endpoint.info.incarnation != event.incarnation) return this
+    if (event.phase == EndpointPhase.GONE && endpoint.inFlight.isEmpty()) {
+        return copy(endpoints = endpoints - event.endpointId)
+    }
+    val changed = endpoint.copy(phase = event.phase)
+    return copy(endpoints = endpoints.put(event.endpointId, changed))
+}
+
+internal fun CellState.applyWorkerJoined(event: Event.WorkerJoined): CellState {
+    val info = event.info
+    val known = workers[info.workerId]
+    val joined = when {
+        known == null -> Worker(info)
+        known.phase == WorkerPhase.LOST -> known.copy(info = info, phase = WorkerPhase.ACTIVE)
+        else -> known.copy(info = info)
+    }
+    return copy(workers = workers.put(info.workerId, joined))
+}
+
+internal fun CellState.applyWorkerPhaseChanged(event: Event.WorkerPhaseChanged): CellState {
+    val worker = workers[event.workerId] ?: return this
+    if (worker.info.incarnation != event.incarnation) return this
+    if (event.phase == WorkerPhase.LOST && worker.taskIds.isEmpty()) {
+        return copy(workers = workers - event.workerId)
+    }
+    return copy(workers = workers.put(event.workerId, worker.copy(phase = event.phase)))
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/model/CellCodec.kt
@@ -0,0 +1,117 @@
+package dev.jackdawdale.model
+
+import kotlinx.collections.immutable.toPersistentHashMap
+import kotlinx.collections.immutable.toPersistentHashSet
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+
+/** The CBOR dialect of the log, of snapshots, of records and of messages between processes. */
+val cellCbor: Cbor = Cbor {
+    alwaysUseByteString = true
+    ignoreUnknownKeys = true
+}
+
+/** Bytes that do not decode into what they should hold. */
+class CorruptPayload(message: String, cause: Throwable) : Exception(message, cause)
+
+/** Encodes a batch as the payload of one log entry. */
+fun EventBatch.encode(): ByteArray = cellCbor.encodeToByteArray(this)
+
+/**
+ * Decodes the payload of one log entry.
+ *
+ * @throws CorruptPayload when [bytes] is not an event batch
+ */
+fun decodeEventBatch(bytes: ByteArray): EventBatch =
+    decoding("event batch") { cellCbor.decodeFromByteArray<EventBatch>(bytes) }
+
+/** Encodes the whole state as a snapshot. */
+fun CellState.encode(): ByteArray = cellCbor.encodeToByteArray(toSnapshot())
+
+/**
+ * Decodes a snapshot.
+ *
+ * @throws CorruptPayload when [bytes] is not a snapshot
+ */
+fun decodeCellState(bytes: ByteArray): CellState =
+    decoding("snapshot") { cellCbor.decodeFromByteArray<CellSnapshot>(bytes) }.toState()
+
+/** Runs [decode]; the codec reports bad bytes with several unrelated runtime exceptions. */
+internal inline fun <T> decoding(what: String, decode: () -> T): T = try {
+    decode()
+} catch (e: RuntimeException) {
+    throw CorruptPayload("not a valid $what: ${e.message}", e)
+}
+
+@Serializable
+private data class CellSnapshot(
+    val contracts: List<Contract>,
+    val changes: List<AppliedChange>,
+    val lastChanges: Map<CustomerId, ChangeId>,
+    val requests: List<RequestWork>,
+    val jobs: List<JobWork>,
+    val tasks: List<Task>,
+    val ended: List<EndedWork>,
+    val workers: List<WorkerSnapshot>,
+    val endpoints: List<EndpointSnapshot>,
+    val entryHosts: List<EntryHost>,
+    val nextToken: FencingToken,
+    val nextRecordNumber: Long
+)
+
+@Serializable
+private data class WorkerSnapshot(
+    val info: WorkerInfo,
+    val phase: WorkerPhase,
+    val allocated: Resources,
+    val taskIds: List<TaskId>
+)
+
+@Serializable
+private data class EndpointSnapshot(
+    val info: EndpointInfo,
+    val phase: EndpointPhase,
+    val inFlight: List<WorkId>
+)
+
+private fun CellState.toSnapshot() = CellSnapshot(
+    contracts = contracts.values.toList(),
+    changes = changes.values.toList(),
+    lastChanges = lastChanges,
+    requests = requests.values.toList(),
+    jobs = jobs.values.toList(),
+    tasks = tasks.values.toList(),
+    ended = ended.values.toList(),
+    workers = workers.values.map {
+        WorkerSnapshot(it.info, it.phase, it.allocated, it.taskIds.toList())
+    },
+    endpoints = endpoints.values.map {
+        EndpointSnapshot(it.info, it.phase, it.inFlight.toList())
+    },
+    entryHosts = entryHosts.values.toList(),
+    nextToken = nextToken,
+    nextRecordNumber = nextRecordNumber
+)
+
+private fun CellSnapshot.toState() = CellState(
+    contracts = contracts.associateBy { it.customerId }.toPersistentHashMap(),
+    changes = changes.associateBy { it.changeId }.toPersistentMap(),
+    lastChanges = lastChanges.toPersistentHashMap(),
+    requests = requests.associateBy { it.spec.workId }.toPersistentHashMap(),
+    jobs = jobs.associateBy { it.spec.workId }.toPersistentHashMap(),
+    tasks = tasks.associateBy { it.taskId }.toPersistentHashMap(),
+    ended = ended.associateBy { it.workId }.toPersistentMap(),
+    workers = workers.associate {
+        val ids = it.taskIds.toPersistentHashSet()
+        it.info.workerId to Worker(it.info, it.phase, it.allocated, ids)
+    }.toPersistentHashMap(),
+    endpoints = endpoints.associate {
+        it.info.endpointId to Endpoint(it.info, it.phase, it.inFlight.toPersistentHashSet())
+    }.toPersistentHashMap(),
+    entryHosts = entryHosts.associateBy { it.hostId }.toPersistentHashMap(),
+    nextToken = nextToken,
+    nextRecordNumber = nextRecordNumber
+)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/model/Event.kt
@@ -0,0 +1,166 @@
+package dev.jackdawdale.model
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** One change of the cell's replicated state. Events are facts: applying one never fails. */
+@Serializable
+sealed interface Event {
+    // Requests
+
+    @Serializable
+    @SerialName("requestAccepted")
+    data class RequestAccepted(
+        val spec: RequestSpec,
+        val contractVersion: Long,
+        val entryHostId: HostId
+    ) : Event
+
+    @Serializable
+    @SerialName("requestPlaced")
+    data class RequestPlaced(
+        val workId: WorkId,
+        val endpointId: EndpointId,
+        val endpointIncarnation: Long,
+        val entryHostId: HostId,
+        val entryIncarnation: Long,
+        val token: FencingToken,
+        val expiresAtMs: Long
+    ) : Event
+
+    /** Proof that the attempt [token] never reached its endpoint: the request waits again. */
+    @Serializable
+    @SerialName("requestNotSent")
+    data class RequestNotSent(val workId: WorkId, val token: FencingToken) : Event
+
+    /** The attempt [token] of an idempotent request failed: the request waits again. */
+    @Serializable
+    @SerialName("requestRetried")
+    data class RequestRetried(
+        val workId: WorkId,
+        val token: FencingToken,
+        val notBeforeMs: Long,
+        val reason: String
+    ) : Event
+
+    /** The caller of a live request now waits at [entryHostId]. */
+    @Serializable
+    @SerialName("requestRehomed")
+    data class RequestRehomed(val workId: WorkId, val entryHostId: HostId) : Event
+
+    @Serializable
+    @SerialName("requestEnded")
+    data class RequestEnded(val workId: WorkId, val outcome: Outcome, val answer: Answer? = null) :
+        Event
+
+    // Jobs and tasks
+
+    @Serializable
+    @SerialName("jobAccepted")
+    data class JobAccepted(val spec: JobSpec, val contractVersion: Long) : Event
+
+    @Serializable
+    @SerialName("jobEnded")
+    data class JobEnded(val workId: WorkId, val outcome: Outcome) : Event
+
+    @Serializable
+    @SerialName("taskPlaced")
+    data class TaskPlaced(
+        val taskId: TaskId,
+        val workerId: WorkerId,
+        val workerIncarnation: Long,
+        val token: FencingToken,
+        val counted: Resources
+    ) : Event
+
+    @Serializable
+    @SerialName("taskStarted")
+    data class TaskStarted(val taskId: TaskId, val token: FencingToken) : Event
+
+    /** The worker is told to stop the task, which holds its capacity until the end is known. */
+    @Serializable
+    @SerialName("taskStopRequested")
+    data class TaskStopRequested(
+        val taskId: TaskId,
+        val token: FencingToken,
+        val reason: StopReason
+    ) : Event
+
+    /** What the task counts for on its worker changes; never below the declared size. */
+    @Serializable
+    @SerialName("taskRecounted")
+    data class TaskRecounted(val taskId: TaskId, val token: FencingToken, val counted: Resources) :
+        Event
+
+    /** The worker reported the end of the attempt [token]: its capacity is free. */
+    @Serializable
+    @SerialName("taskEnded")
+    data class TaskEnded(
+        val taskId: TaskId,
+        val token: FencingToken,
+        val result: TaskResult,
+        val notBeforeMs: Long = 0,
+        val detail: String = ""
+    ) : Event
+
+    /** The attempt [token] can no longer run (lease expired or worker restarted). */
+    @Serializable
+    @SerialName("taskLost")
+    data class TaskLost(val taskId: TaskId, val token: FencingToken, val reason: String) : Event
+
+    /** The customer wants the work item to end. */
+    @Serializable
+    @SerialName("cancelRequested")
+    data class CancelRequested(val workId: WorkId) : Event
+
+    // Contracts and members
+
+    @Serializable
+    @SerialName("contractChanged")
+    data class ContractChanged(val changeId: ChangeId, val contract: Contract) : Event
+
+    @Serializable
+    @SerialName("endpointJoined")
+    data class EndpointJoined(val info: EndpointInfo) : Event
+
+    @Serializable
+    @SerialName("endpointPhaseChanged")
+    data class EndpointPhaseChanged(
+        val endpointId: EndpointId,
+        val incarnation: Long,
+        val phase: EndpointPhase
+    ) : Event
+
+    @Serializable
+    @SerialName("workerJoined")
+    data class WorkerJoined(val info: WorkerInfo) : Event
+
+    @Serializable
+    @SerialName("workerPhaseChanged")
+    data class WorkerPhaseChanged(
+        val workerId: WorkerId,
+        val incarnation: Long,
+        val phase: WorkerPhase
+    ) : Event
+
+    @Serializable
+    @SerialName("entryHostJoined")
+    data class EntryHostJoined(val host: EntryHost) : Event
+
+    @Serializable
+    @SerialName("entryHostLeft")
+    data class EntryHostLeft(val hostId: HostId, val incarnation: Long) : Event
+
+    /** Ended work and applied changes older than the dedup window are forgotten. */
+    @Serializable
+    @SerialName("dedupWindowMoved")
+    data class DedupWindowMoved(val keepFromMs: Long) : Event
+}
+
+/**
+ * What one log entry holds: the events of one pass of the control thread.
+ *
+ * @property atMs leader's time of the pass, milliseconds since the epoch
+ */
+@Serializable
+data class EventBatch(val atMs: Long, val events: List<Event>)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/model/Resources.kt
@@ -0,0 +1,43 @@
+package dev.jackdawdale.model
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Processors, memory and accelerators of a host, or what a task needs of them.
+ *
+ * @property cpuMillis thousandths of a processor core
+ * @property memoryMib mebibytes
+ * @property accelerators whole devices
+ */
+@Serializable
+data class Resources(val cpuMillis: Long = 0, val memoryMib: Long = 0, val accelerators: Long = 0)
+
+operator fun Resources.plus(other: Resources): Resources = Resources(
+    cpuMillis + other.cpuMillis,
+    memoryMib + other.memoryMib,
+    accelerators + other.accelerators
+)
+
+operator fun Resources.minus(other: Resources): Resources = Resources(
+    cpuMillis - other.cpuMillis,
+    memoryMib - other.memoryMib,
+    accelerators - other.accelerators
+)
+
+operator fun Resources.times(count: Int): Resources =
+    Resources(cpuMillis * count, memoryMib * count, accelerators * count)
+
+/** True when each of the three dimensions fits into [available]. */
+fun Resources.fitsInto(available: Resources): Boolean = cpuMillis <= available.cpuMillis &&
+    memoryMib <= available.memoryMib &&
+    accelerators <= available.accelerators
+
+/** The greater value in each dimension. */
+fun Resources.atLeast(other: Resources): Resources = Resources(
+    maxOf(cpuMillis, other.cpuMillis),
+    maxOf(memoryMib, other.memoryMib),
+    maxOf(accelerators, other.accelerators)
+)
+
+/** True when no dimension is negative. */
+fun Resources.isNonNegative(): Boolean = cpuMillis >= 0 && memoryMib >= 0 && accelerators >= 0
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/model/WorkRecord.kt
@@ -0,0 +1,39 @@
+package dev.jackdawdale.model
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** What a customer asked for, as the record keeps it. */
+@Serializable
+sealed interface Asked {
+    @Serializable
+    @SerialName("request")
+    data class Request(val spec: RequestSpec) : Asked
+
+    @Serializable
+    @SerialName("job")
+    data class Job(val spec: JobSpec) : Asked
+}
+
+/**
+ * The permanent record of one work item: what was asked, under which terms, what became of it.
+ *
+ * @property number position in the sequence of all records of the cell, from 0
+ * @property contractVersion version of the contract under which it was accepted
+ * @property attempts placements that may have reached an endpoint or worker
+ * @property lastPlacedAt endpoint id of the last attempt of a request, or null
+ */
+@Serializable
+data class WorkRecord(
+    val number: Long,
+    val workId: WorkId,
+    val customerId: CustomerId,
+    val asked: Asked,
+    val contractVersion: Long,
+    val acceptedAtMs: Long,
+    val endedAtMs: Long,
+    val outcome: Outcome,
+    val attempts: Int,
+    val lastPlacedAt: String? = null,
+    val answer: Answer? = null
+)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/wire/Command.kt
@@ -0,0 +1,99 @@
+package dev.jackdawdale.wire
+
+import dev.jackdawdale.model.Blob
+import dev.jackdawdale.model.ChangeId
+import dev.jackdawdale.model.Contract
+import dev.jackdawdale.model.CustomerId
+import dev.jackdawdale.model.EndpointId
+import dev.jackdawdale.model.EndpointInfo
+import dev.jackdawdale.model.JobSpec
+import dev.jackdawdale.model.ReportedEnd
+import dev.jackdawdale.model.ReportedTask
+import dev.jackdawdale.model.ServiceName
+import dev.jackdawdale.model.Urgency
+import dev.jackdawdale.model.WorkId
+import dev.jackdawdale.model.WorkerId
+import dev.jackdawdale.model.WorkerInfo
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Something that an entry host asks of the leader and that may change the cell's state. */
+@Serializable
+sealed interface Command {
+    /**
+     * Runs a request once. A resend of the same work id meets the same work item.
+     *
+     * @property deadlineInMs end of the caller's interest, from the leader's receipt
+     * @property waits the entry host wants [ControlMessage.RequestEnded] when it has ended
+     */
+    @Serializable
+    @SerialName("submitRequest")
+    data class SubmitRequest(
+        val workId: WorkId,
+        val customerId: CustomerId,
+        val service: ServiceName,
+        val idempotent: Boolean,
+        val kind: String,
+        val declaredRunTimeMs: Long?,
+        val urgency: Urgency,
+        val deadlineInMs: Long,
+        val contentType: String,
+        val body: Blob,
+        val waits: Boolean
+    ) : Command
+
+    @Serializable
+    @SerialName("submitJob")
+    data class SubmitJob(val spec: JobSpec) : Command
+
+    @Serializable
+    @SerialName("cancel")
+    data class Cancel(val customerId: CustomerId, val workId: WorkId) : Command
+
+    /** Changes a contract; the version in [contract] is replaced by the next one. */
+    @Serializable
+    @SerialName("putContract")
+    data class PutContract(
+        val changeId: ChangeId,
+        val expectedVersion: Long,
+        val contract: Contract
+    ) : Command
+
+    @Serializable
+    @SerialName("announceEndpoint")
+    data class AnnounceEndpoint(val info: EndpointInfo, val leaving: Boolean) : Command
+
+    /**
+     * One poll of a worker.
+     *
+     * @property running tasks that the worker holds, with the usage it measured last
+     * @property ended ends that were not acknowledged yet
+     * @property pollMs how long the answer may be held back when there is no order
+     */
+    @Serializable
+    @SerialName("announceWorker")
+    data class AnnounceWorker(
+        val info: WorkerInfo,
+        val leaving: Boolean,
+        val running: List<ReportedTask>,
+        val ended: List<ReportedEnd>,
+        val pollMs: Long
+    ) : Command
+
+    @Serializable
+    @SerialName("operateEndpoint")
+    data class OperateEndpoint(val endpointId: EndpointId, val operation: Operation) : Command
+
+    @Serializable
+    @SerialName("operateWorker")
+    data class OperateWorker(val workerId: WorkerId, val operation: Operation) : Command
+
+    /** The operator vouches that the worker is off and runs nothing. */
+    @Serializable
+    @SerialName("confirmWorkerLost")
+    data class ConfirmWorkerLost(val workerId: WorkerId) : Command
+}
+
+/** What operators do to endpoints and workers. */
+@Serializable
+enum class Operation { START, DRAIN, STOP }
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/wire/Query.kt
@@ -0,0 +1,53 @@
+package dev.jackdawdale.wire
+
+import dev.jackdawdale.model.CustomerId
+import dev.jackdawdale.model.WorkId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Something that an entry host wants to know. It changes nothing. */
+@Serializable
+sealed interface Query {
+    /** One work item; [customerId] null means that an operator asks. */
+    @Serializable
+    @SerialName("work")
+    data class Work(val customerId: CustomerId?, val workId: WorkId) : Query
+
+    @Serializable
+    @SerialName("contracts")
+    data class Contracts(val customerId: CustomerId? = null) : Query
+
+    @Serializable
+    @SerialName("endpoints")
+    data object Endpoints : Query
+
+    @Serializable
+    @SerialName("workers")
+    data object Workers : Query
+
+    /** Waiting work with the reason for waiting. */
+    @Serializable
+    @SerialName("queue")
+    data class Queue(val customerId: CustomerId? = null, val limit: Int = 1000) : Query
+
+    @Serializable
+    @SerialName("cellStatus")
+    data object CellStatus : Query
+
+    /**
+     * Records of ended work in order of their numbers.
+     *
+     * @property fromNumber first record number to look at
+     * @property outcome an outcome label, or null for all
+     */
+    @Serializable
+    @SerialName("records")
+    data class Records(
+        val customerId: CustomerId? = null,
+        val endedFromMs: Long = 0,
+        val endedToMs: Long = Long.MAX_VALUE,
+        val outcome: String? = null,
+        val fromNumber: Long = 0,
+        val limit: Int = 1000
+    ) : Query
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/wire/SessionMessages.kt
@@ -0,0 +1,135 @@
+package dev.jackdawdale.wire
+
+import dev.jackdawdale.model.Answer
+import dev.jackdawdale.model.AttemptResult
+import dev.jackdawdale.model.Blob
+import dev.jackdawdale.model.Contract
+import dev.jackdawdale.model.EndpointId
+import dev.jackdawdale.model.FailureDomain
+import dev.jackdawdale.model.FencingToken
+import dev.jackdawdale.model.HeldAttempt
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.Outcome
+import dev.jackdawdale.model.WorkId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Messages from an entry host to a control replica. */
+@Serializable
+sealed interface EntryMessage {
+    /**
+     * The first message of a session. A replica that does not lead answers
+     * [ControlMessage.NotLeader].
+     *
+     * @property highestTerm greatest term seen; the entry host refuses dispatches of lower terms
+     * @property held attempts in flight, and finished ones whose result was not acknowledged
+     */
+    @Serializable
+    @SerialName("sessionOpen")
+    data class SessionOpen(
+        val hostId: HostId,
+        val incarnation: Long,
+        val failureDomain: FailureDomain,
+        val highestTerm: Long,
+        val held: List<HeldAttempt>,
+        val draining: Boolean
+    ) : EntryMessage
+
+    /** Sent every [SESSION_HEARTBEAT_MS]; [draining] hosts get no new dispatches. */
+    @Serializable
+    @SerialName("sessionHeartbeat")
+    data class SessionHeartbeat(val draining: Boolean) : EntryMessage
+
+    /** The reply has the same [callId]. */
+    @Serializable
+    @SerialName("commandCall")
+    data class CommandCall(val callId: Long, val command: Command) : EntryMessage
+
+    /** The reply has the same [callId]. */
+    @Serializable
+    @SerialName("queryCall")
+    data class QueryCall(val callId: Long, val query: Query) : EntryMessage
+
+    /** Repeated on each new session until [ControlMessage.AttemptAcknowledged] arrives. */
+    @Serializable
+    @SerialName("attemptFinished")
+    data class AttemptFinished(
+        val workId: WorkId,
+        val token: FencingToken,
+        val result: AttemptResult,
+        val runTimeMs: Long
+    ) : EntryMessage
+}
+
+/** Interval of session heartbeats in both directions, in milliseconds. */
+const val SESSION_HEARTBEAT_MS = 500L
+
+/** Silence after which either side gives a session up, in milliseconds. */
+const val SESSION_TIMEOUT_MS = 3_000L
+
+/** Messages from a control replica to an entry host. */
+@Serializable
+sealed interface ControlMessage {
+    /** The session stands; [term] is the leader's term. */
+    @Serializable
+    @SerialName("sessionAccepted")
+    data class SessionAccepted(val term: Long) : ControlMessage
+
+    /** This replica does not lead; [leader] is the host to try, when known. */
+    @Serializable
+    @SerialName("notLeader")
+    data class NotLeader(val leader: HostId?) : ControlMessage
+
+    @Serializable
+    @SerialName("reply")
+    data class ReplyTo(val callId: Long, val reply: Reply) : ControlMessage
+
+    /**
+     * Send this request to the endpoint.
+     *
+     * @property validForMs the first byte leaves within this time of receipt, or never
+     * @property deadlineInMs give the attempt up after this time from receipt
+     */
+    @Serializable
+    @SerialName("dispatch")
+    data class Dispatch(
+        val term: Long,
+        val workId: WorkId,
+        val token: FencingToken,
+        val endpointId: EndpointId,
+        val address: String,
+        val port: Int,
+        val path: String,
+        val kind: String,
+        val contentType: String,
+        val body: Blob,
+        val validForMs: Long,
+        val deadlineInMs: Long
+    ) : ControlMessage
+
+    /** The result of the attempt is durable; the entry host may forget it. */
+    @Serializable
+    @SerialName("attemptAcknowledged")
+    data class AttemptAcknowledged(val workId: WorkId, val token: FencingToken) : ControlMessage
+
+    /** A request for which this entry host waits has ended. */
+    @Serializable
+    @SerialName("requestEnded")
+    data class RequestEnded(val workId: WorkId, val outcome: Outcome, val answer: Answer?) :
+        ControlMessage
+
+    /**
+     * Sent every [SESSION_HEARTBEAT_MS] by a leader that heard a quorum within the last second.
+     * The entry host admits work for [validForMs] after the receipt.
+     *
+     * @property contracts contracts that changed since the last message of this session
+     */
+    @Serializable
+    @SerialName("configuration")
+    data class Configuration(
+        val term: Long,
+        val commitIndex: Long,
+        val contracts: List<Contract>,
+        val validForMs: Long
+    ) : ControlMessage
+}
