--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/recovery/AttemptCancel.kt
@@ -0,0 +1,46 @@
+package dev.jackdawdale.recovery
+
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.CustomerId
+import dev.jackdawdale.model.Event
+import dev.jackdawdale.model.Outcome
+import dev.jackdawdale.model.Refusal
+import dev.jackdawdale.model.RequestWork
+import dev.jackdawdale.model.WorkId
+
+/**
+ * Decides a cancellation. A waiting request ends at once; a placed one, or a job, is marked and
+ * ends when its attempts have ended.
+ */
+@Suppress("UnusedParameter") // the time is part of every decision's signature
+internal fun decideCancel(
+    state: CellState,
+    customerId: CustomerId,
+    workId: WorkId,
+    nowMs: Long
+): CancelDecision {
+    if (!workId.value.startsWith("${customerId.value}/")) return notFound(workId)
+    val request = state.requests[workId]
+    if (request != null) return CancelDecision.Accepted(cancelRequest(request))
+    val job = state.jobs[workId]
+    return when {
+        job != null && job.cancelRequested -> CancelDecision.Accepted(emptyList())
+        job != null -> CancelDecision.Accepted(listOf(Event.CancelRequested(workId)))
+        workId in state.ended -> CancelDecision.Accepted(emptyList())
+        else -> notFound(workId)
+    }
+}
+
+private fun cancelRequest(work: RequestWork): List<Event> {
+    val workId = work.spec.workId
+    if (work.placement == null) {
+        // An earlier attempt that broke may have run.
+        val outcome = Outcome.Cancelled(mayHaveRun = work.attempts > 0)
+        return listOf(Event.RequestEnded(workId, outcome))
+    }
+    if (work.cancelRequested) return emptyList()
+    return listOf(Event.CancelRequested(workId))
+}
+
+private fun notFound(workId: WorkId): CancelDecision =
+    CancelDecision.Refused(Refusal.NotFound("work $workId"))
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/recovery/AttemptDecisions.kt
@@ -0,0 +1,176 @@
+package dev.jackdawdale.recovery
+
+import dev.jackdawdale.model.Answer
+import dev.jackdawdale.model.AttemptResult
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.Event
+import dev.jackdawdale.model.FencingToken
+import dev.jackdawdale.model.HeldAttempt
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.Outcome
+import dev.jackdawdale.model.RequestPlacement
+import dev.jackdawdale.model.RequestWork
+import dev.jackdawdale.model.WorkId
+import dev.jackdawdale.model.apply
+import kotlin.random.Random
+
+/**
+ * What follows from the [result] of the attempt [token]. A late result of an abandoned attempt
+ * changes nothing: the list is empty.
+ */
+internal fun decideAttempt(
+    state: CellState,
+    recovery: AttemptRecoveryState,
+    workId: WorkId,
+    token: FencingToken,
+    result: AttemptResult,
+    nowMs: Long
+): List<Event> {
+    val work = state.requests[workId] ?: return emptyList()
+    val placement = work.placement ?: return emptyList()
+    if (placement.token != token) return emptyList()
+    val event = when (result) {
+        is AttemptResult.Answered -> answered(recovery, work, placement, result.answer, nowMs)
+        is AttemptResult.NotSent -> notSent(work, placement)
+        is AttemptResult.Broken -> broken(recovery, work, placement, result.reason, nowMs)
+    }
+    return listOf(event)
+}
+
+/**
+ * What follows when entry host [hostId] opens a session and holds the attempts [held]. A placed
+ * attempt that the same incarnation does not hold never reached it and never will. Attempts of an
+ * older incarnation may have been sent.
+ */
+internal fun decideSession(
+    state: CellState,
+    recovery: AttemptRecoveryState,
+    hostId: HostId,
+    incarnation: Long,
+    held: List<HeldAttempt>,
+    nowMs: Long
+): List<Event> {
+    val heldTokens = held.mapTo(HashSet()) { it.token }
+    return decideEach(state, recovery, hostId, nowMs) { current, work, placement ->
+        when {
+            placement.entryIncarnation < incarnation ->
+                broken(current, work, placement, "entry host $hostId restarted", nowMs)
+            placement.entryIncarnation > incarnation -> null
+            placement.token in heldTokens -> null
+            else -> notSent(work, placement)
+        }
+    }
+}
+
+/** What follows when the entry host [hostId] is silent past the session timeout. */
+internal fun decideEntryHostLost(
+    state: CellState,
+    recovery: AttemptRecoveryState,
+    hostId: HostId,
+    incarnation: Long,
+    nowMs: Long
+): List<Event> = decideEach(state, recovery, hostId, nowMs) { current, work, placement ->
+    if (placement.entryIncarnation > incarnation) {
+        null
+    } else {
+        broken(current, work, placement, "entry host $hostId was lost", nowMs)
+    }
+}
+
+/** Decides all attempts placed at [hostId] in the order of their tokens; each uses the budget. */
+private fun decideEach(
+    state: CellState,
+    recovery: AttemptRecoveryState,
+    hostId: HostId,
+    nowMs: Long,
+    decide: (AttemptRecoveryState, RequestWork, RequestPlacement) -> Event?
+): List<Event> {
+    val placed = recovery.placedAt[hostId].orEmpty()
+        .mapNotNull { state.requests[it] }
+        .filter { it.placement?.entryHostId == hostId }
+        .sortedBy { it.placement?.token }
+    val events = mutableListOf<Event>()
+    var current = recovery
+    for (work in placed) {
+        val event = work.placement?.let { decide(current, work, it) } ?: continue
+        events += event
+        current = current.observe(event, state, state.apply(event, nowMs), nowMs)
+    }
+    return events
+}
+
+private const val HTTP_SERVER_ERROR = 500
+private const val HTTP_UNAVAILABLE = 503
+
+private fun answered(
+    recovery: AttemptRecoveryState,
+    work: RequestWork,
+    placement: RequestPlacement,
+    answer: Answer,
+    nowMs: Long
+): Event {
+    val workId = work.spec.workId
+    if (answer.status < HTTP_SERVER_ERROR) {
+        return Event.RequestEnded(workId, Outcome.Succeeded, answer)
+    }
+    val reason = "endpoint answered ${answer.status}"
+    val retry = if (answer.status == HTTP_UNAVAILABLE && !work.cancelRequested) {
+        retryOrNull(recovery, work, placement, reason, nowMs)
+    } else {
+        null
+    }
+    return retry ?: Event.RequestEnded(workId, Outcome.Failed(reason), answer)
+}
+
+private fun notSent(work: RequestWork, placement: RequestPlacement): Event {
+    val workId = work.spec.workId
+    if (!work.cancelRequested) return Event.RequestNotSent(workId, placement.token)
+    val earlierAttempts = work.attempts - 1
+    return Event.RequestEnded(workId, Outcome.Cancelled(mayHaveRun = earlierAttempts > 0))
+}
+
+private fun broken(
+    recovery: AttemptRecoveryState,
+    work: RequestWork,
+    placement: RequestPlacement,
+    reason: String,
+    nowMs: Long
+): Event {
+    val workId = work.spec.workId
+    if (work.cancelRequested) {
+        return Event.RequestEnded(workId, Outcome.Cancelled(mayHaveRun = true))
+    }
+    return retryOrNull(recovery, work, placement, reason, nowMs)
+        ?: Event.RequestEnded(workId, Outcome.MayHaveRun(reason))
+}
+
+private fun retryOrNull(
+    recovery: AttemptRecoveryState,
+    work: RequestWork,
+    placement: RequestPlacement,
+    reason: String,
+    nowMs: Long
+): Event? {
+    val spec = work.spec
+    val allowed = spec.idempotent &&
+        work.attempts < recovery.settings.maxAttempts &&
+        recovery.budgetOf(spec.customerId) >= ONE_RETRY
+    if (!allowed) return null
+    val notBeforeMs = nowMs + backoffMs(recovery.settings, work, placement)
+    if (notBeforeMs >= spec.deadlineMs) return null
+    return Event.RequestRetried(spec.workId, placement.token, notBeforeMs, reason)
+}
+
+private const val MAX_DOUBLINGS = 20
+
+/** Exponential back-off with jitter over its upper half, seeded by the attempt. */
+private fun backoffMs(
+    settings: AttemptRecoverySettings,
+    work: RequestWork,
+    placement: RequestPlacement
+): Long {
+    val doublings = (work.attempts - 1).coerceIn(0, MAX_DOUBLINGS)
+    val full = minOf(settings.backoffBaseMs shl doublings, settings.backoffMaxMs)
+    val half = maxOf(full / 2, 1)
+    return half + Random(settings.seed xor placement.token.value).nextLong(half)
+}
