Thin traffic: add the transport, the entry host and its HTTP calls

Cause: the control loop needs a transport and an entry role to be wired against.

ControlMessage.Dispatch gets maxIdleConnections and RequestEnded gets attempts, both with defaults: the first bounds the connections of all entry hosts to one endpoint, the second is needed for the header Jackdawdale-Attempts.

--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/entry/Dispatcher.kt
@@ -0,0 +1,88 @@
+package dev.jackdawdale.entry
+
+import dev.jackdawdale.model.AttemptResult
+import dev.jackdawdale.model.FencingToken
+import dev.jackdawdale.model.HeldAttempt
+import dev.jackdawdale.wire.ControlMessage
+import dev.jackdawdale.wire.EntryMessage
+import io.micrometer.core.instrument.MeterRegistry
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import java.util.concurrent.TimeUnit
+
+private const val CLOSE_TIMEOUT_MS = 2_000L
+
+/**
+ * Sends requests to endpoints as the leader decides and reports how the attempts ended.
+ *
+ * @property report queues a result for the leader; a result that is lost is sent again by
+ * [resendFinished] until it is acknowledged
+ */
+internal class Dispatcher(
+    private val settings: EntrySettings,
+    registry: MeterRegistry,
+    private val highestTerm: () -> Long,
+    private val report: (EntryMessage.AttemptFinished) -> Unit,
+    private val note: (subject: String, text: String) -> Unit
+) : AutoCloseable {
+    private val group =
+        MultiThreadIoEventLoopGroup(settings.dispatchThreads, NioIoHandler.newFactory())
+    private val pools = EndpointPools(settings, group)
+    private val attempts = AttemptTable(settings.recentTokens)
+    private val results = listOf("answered", "not_sent", "broken").associateWith {
+        registry.counter("jackdawdale.dispatch.attempts", "result", it)
+    }
+    private val refusedTerms = registry.counter("jackdawdale.dispatch.refused.terms")
+    private val duplicates = registry.counter("jackdawdale.dispatch.duplicates")
+
+    val inFlight: Int get() = attempts.inFlight
+
+    /** True when no attempt is in flight and every result is acknowledged. */
+    val isIdle: Boolean get() = attempts.isEmpty
+
+    init {
+        registry.gauge("jackdawdale.dispatch.in.flight", this) { it.inFlight.toDouble() }
+    }
+
+    /** Takes the attempt on, unless its term is overtaken or its token is known. */
+    fun dispatch(message: ControlMessage.Dispatch, nowNanos: Long) {
+        if (message.term < highestTerm()) {
+            refusedTerms.increment()
+            note(message.workId.value, "dispatch ${message.token} of old term ${message.term}")
+            return
+        }
+        if (!attempts.begin(message.workId, message.token, nowNanos)) {
+            duplicates.increment()
+            return
+        }
+        note(message.workId.value, "dispatch ${message.token} to ${message.endpointId}")
+        val exchange = Exchange(message, nowNanos) { finished(message, it) }
+        pools.send(exchange)
+    }
+
+    fun acknowledged(token: FencingToken) = attempts.acknowledge(token)
+
+    fun held(): List<HeldAttempt> = attempts.held()
+
+    fun resendFinished() = attempts.unacknowledged().forEach(report)
+
+    override fun close() {
+        pools.close()
+        group.shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+            .awaitUninterruptibly(2 * CLOSE_TIMEOUT_MS)
+    }
+
+    private fun finished(message: ControlMessage.Dispatch, result: AttemptResult) {
+        val finished = attempts.finish(message.token, result, System.nanoTime()) ?: return
+        results.getValue(result.label).increment()
+        note(message.workId.value, "attempt ${message.token} ${result.label}")
+        report(finished)
+    }
+}
+
+private val AttemptResult.label: String
+    get() = when (this) {
+        is AttemptResult.Answered -> "answered"
+        is AttemptResult.NotSent -> "not_sent"
+        is AttemptResult.Broken -> "broken"
+    }
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/entry/EntryHost.kt
@@ -0,0 +1,145 @@
+package dev.jackdawdale.entry
+
+import dev.jackdawdale.model.CustomerId
+import dev.jackdawdale.wire.ControlClient
+import dev.jackdawdale.wire.ControlClientCallbacks
+import dev.jackdawdale.wire.ControlMessage
+import dev.jackdawdale.wire.PeerSettings
+import dev.jackdawdale.wire.controlClient
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+private const val DRAIN_POLL_MS = 20L
+
+/**
+ * The entry role: answers calls with the help of the leader and sends requests to endpoints.
+ *
+ * Its [routes] go to an [HttpServer] together with those of the process.
+ */
+internal class EntryHost(
+    internal val settings: EntrySettings,
+    peer: PeerSettings,
+    registry: MeterRegistry,
+    private val note: (subject: String, text: String) -> Unit
+) : AutoCloseable {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    internal val contracts = ContractCache()
+    internal val waiters = Waiters(settings.maxWaitingBytes)
+    internal val client: ControlClient = controlClient(
+        peer,
+        ControlClientCallbacks(
+            held = { dispatcher.held() },
+            onOpened = ::sessionOpened,
+            onLost = { note("session", "lost") },
+            onMessage = ::receive
+        )
+    )
+    private val dispatcher: Dispatcher = Dispatcher(
+        settings,
+        registry,
+        highestTerm = { client.highestTerm },
+        report = { client.send(it) },
+        note = note
+    )
+
+    @Volatile
+    private var draining = false
+
+    @Volatile
+    private var refusing = false
+
+    /** The calls of the entry role. */
+    val routes: List<Route> =
+        requestRoutes(this) + workRoutes(this) + memberRoutes(this) + operatorRoutes(this)
+
+    init {
+        registry.gauge("jackdawdale.entry.waiting.callers", waiters) { it.count.toDouble() }
+    }
+
+    fun start() = client.start()
+
+    /** What an [HttpServer] checks customers' tokens against. */
+    fun customerTokens(customerId: CustomerId): CustomerTokens =
+        contracts.tokens(customerId, System.nanoTime())
+
+    /** Why the host is not ready for new work, or null when it is. */
+    fun notReadyBecause(): String? = when {
+        draining -> "draining"
+        !client.isOpen -> "no session with the leader"
+        !contracts.isFresh(System.nanoTime()) -> "the configuration is stale"
+        else -> null
+    }
+
+    /** Throws [HttpError] 503 while the host may not accept new work. */
+    internal fun requireNewWorkAllowed() {
+        if (refusing) throw unavailable("draining", "this host is stopping")
+        if (!contracts.isFresh(System.nanoTime())) {
+            throw unavailable(
+                "configuration_stale",
+                "this host has not heard from the leader lately"
+            )
+        }
+    }
+
+    /** Turns readiness false at once and refuses new work after the grace period. */
+    fun beginDrain() {
+        if (draining) return
+        draining = true
+        note("drain", "begun")
+        client.announceDraining()
+        scope.launch {
+            delay(settings.drainGraceMs)
+            refusing = true
+        }
+    }
+
+    /** Waits until callers and attempts are done; false when the settings' time was too short. */
+    suspend fun awaitDrained(): Boolean {
+        beginDrain()
+        val deadlineNanos = System.nanoTime() + settings.drainTimeoutMs * 1_000_000
+        while (System.nanoTime() < deadlineNanos) {
+            if (refusing && waiters.count == 0 && dispatcher.isIdle) return true
+            delay(DRAIN_POLL_MS)
+        }
+        return false
+    }
+
+    override fun close() {
+        scope.cancel()
+        client.close()
+        dispatcher.close()
+    }
+
+    private fun sessionOpened(term: Long) {
+        note("session", "open under term $term")
+        dispatcher.resendFinished()
+        waiters.accepted().forEach { waiter -> scope.launch { askAgain(waiter) } }
+    }
+
+    private fun receive(message: ControlMessage) {
+        when (message) {
+            is ControlMessage.Dispatch -> dispatcher.dispatch(message, System.nanoTime())
+            is ControlMessage.AttemptAcknowledged -> dispatcher.acknowledged(message.token)
+            is ControlMessage.RequestEnded -> waiters.end(message)
+            is ControlMessage.Configuration -> contracts.update(message, System.nanoTime())
+            else -> note("session", "ignored ${message::class.simpleName}")
+        }
+    }
+}
+
+/**
+ * Makes the entry role of a process; nothing runs before [EntryHost.start].
+ *
+ * @param note records an event of this process's timeline
+ */
+internal fun entryHost(
+    settings: EntrySettings,
+    peer: PeerSettings,
+    registry: MeterRegistry,
+    note: (subject: String, text: String) -> Unit = { _, _ -> }
+): EntryHost = EntryHost(settings, peer, registry, note)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/entry/Fields.kt
@@ -0,0 +1,80 @@
+package dev.jackdawdale.entry
+
+import dev.jackdawdale.model.CustomerId
+import dev.jackdawdale.model.Resources
+import dev.jackdawdale.model.isValidId
+
+private const val MAX_TEXT_CHARS = 128
+
+internal fun invalid(field: String, problem: String): HttpError =
+    badRequest("invalid", "field \"$field\": $problem")
+
+/** [value] when it is at least [min], otherwise an error that names [field]. */
+internal fun atLeast(min: Long, field: String, value: Long): Long {
+    if (value < min) throw invalid(field, "$value is less than $min")
+    return value
+}
+
+internal fun atLeast(min: Int, field: String, value: Int): Int {
+    if (value < min) throw invalid(field, "$value is less than $min")
+    return value
+}
+
+internal fun validId(field: String, value: String): String {
+    if (!isValidId(value)) {
+        throw invalid(field, "must be 1 to 128 of the characters A-Z a-z 0-9 . _ : @ -")
+    }
+    return value
+}
+
+internal fun validText(field: String, value: String): String {
+    if (value.length > MAX_TEXT_CHARS) throw invalid(field, "longer than $MAX_TEXT_CHARS")
+    return value
+}
+
+internal fun resources(cpuMillis: Long, memoryMib: Long, accelerators: Long): Resources = Resources(
+    atLeast(0, "cpu_millis", cpuMillis),
+    atLeast(0, "memory_mib", memoryMib),
+    atLeast(0, "accelerators", accelerators)
+)
+
+/** A path parameter that must be a valid id. */
+internal fun HttpCall.pathId(name: String): String = validId(name, path.getValue(name))
+
+/** The customer that makes the call. */
+internal fun HttpCall.customer(): CustomerId = (principal as Principal.Customer).customerId
+
+/** The one value of a header, or null without the header. */
+internal fun HttpCall.header(name: String): String? {
+    val values = headers.getAll(name)
+    if (values.size > 1) throw badHeader(name, "is given more than once")
+    return values.firstOrNull()
+}
+
+internal fun badHeader(name: String, problem: String): HttpError =
+    badRequest("bad_header", "header $name $problem")
+
+internal fun HttpCall.longHeader(name: String, range: LongRange): Long? {
+    val text = header(name) ?: return null
+    return text.toLongOrNull()?.takeIf { it in range }
+        ?: throw badHeader(name, "must be a number from ${range.first} to ${range.last}")
+}
+
+/** The one value of a query parameter, or null without it. */
+internal fun HttpCall.queryText(name: String): String? {
+    val values = query[name] ?: return null
+    if (values.size > 1) throw invalid(name, "is given more than once")
+    return values.first()
+}
+
+internal fun HttpCall.queryLong(name: String): Long? {
+    val text = queryText(name) ?: return null
+    return text.toLongOrNull()?.takeIf { it >= 0 }
+        ?: throw invalid(name, "must be a number of at least 0")
+}
+
+/** Refuses query parameters that the call does not know. */
+internal fun HttpCall.allowQuery(vararg names: String) {
+    val unknown = query.keys.firstOrNull { it !in names } ?: return
+    throw badRequest("unknown_parameter", "unknown query parameter \"$unknown\"")
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/entry/RequestRoutes.kt
@@ -0,0 +1,124 @@
+package dev.jackdawdale.entry
+
+import dev.jackdawdale.model.Blob
+import dev.jackdawdale.model.ServiceName
+import dev.jackdawdale.model.Urgency
+import dev.jackdawdale.model.WorkId
+import dev.jackdawdale.model.label
+import dev.jackdawdale.model.workId
+import dev.jackdawdale.wire.Command
+import dev.jackdawdale.wire.Reply
+import dev.jackdawdale.wire.WorkStage
+import dev.jackdawdale.wire.WorkStatus
+import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.coroutines.withTimeoutOrNull
+
+private const val DEFAULT_TYPE = "application/octet-stream"
+private const val RESPOND_ASYNC = "respond-async"
+
+/** The call that runs a request. */
+internal fun requestRoutes(host: EntryHost): List<Route> = listOf(
+    Route("POST", "/v1/services/{service}/requests", Access.CUSTOMER) { call ->
+        host.requireNewWorkAllowed()
+        val async = call.headers.getAll("Prefer").any { it.contains(RESPOND_ASYNC, true) }
+        val command = call.submitCommand(host.settings, waits = !async)
+        if (async) host.submitAsync(command) else host.submitAndWait(command)
+    }
+)
+
+private fun HttpCall.submitCommand(settings: EntrySettings, waits: Boolean): Command.SubmitRequest {
+    val requestId = header("Jackdawdale-Request-Id")
+        ?: throw badHeader("Jackdawdale-Request-Id", "is needed")
+    val customerId = customer()
+    return Command.SubmitRequest(
+        workId = workId(customerId, validId("Jackdawdale-Request-Id", requestId)),
+        customerId = customerId,
+        service = ServiceName(pathId("service")),
+        idempotent = booleanHeader("Jackdawdale-Idempotent"),
+        kind = validText("Jackdawdale-Kind", header("Jackdawdale-Kind").orEmpty()),
+        declaredRunTimeMs = longHeader("Jackdawdale-Declared-Ms", 1L..settings.maxDeadlineMs),
+        urgency = urgencyHeader(),
+        deadlineInMs = longHeader("Jackdawdale-Deadline-Ms", 1L..settings.maxDeadlineMs)
+            ?: settings.defaultDeadlineMs,
+        contentType = validText(
+            "Content-Type",
+            header(HttpHeaderNames.CONTENT_TYPE.toString()) ?: DEFAULT_TYPE
+        ),
+        body = Blob(body),
+        waits = waits
+    )
+}
+
+/** A request counts as not idempotent unless the caller says that it is: that is the safe side. */
+private fun HttpCall.booleanHeader(name: String): Boolean {
+    val text = header(name) ?: return false
+    return text.lowercase().toBooleanStrictOrNull()
+        ?: throw badHeader(name, "must be true or false")
+}
+
+private fun HttpCall.urgencyHeader(): Urgency {
+    val text = header("Jackdawdale-Urgency") ?: return Urgency.NORMAL
+    return Urgency.entries.firstOrNull { it.name.equals(text, ignoreCase = true) }
+        ?: throw badHeader("Jackdawdale-Urgency", "must be urgent, normal or deferrable")
+}
+
+private suspend fun EntryHost.submitAsync(command: Command.SubmitRequest): HttpResult {
+    val reply = client.call(command, settings.commandTimeoutMs)
+    val status = reply.expect<Reply.Work>(Ran.UNKNOWN).status
+    return jsonResult(202, StatusJson.serializer(), status.toJson(), status.workHeaders())
+}
+
+private suspend fun EntryHost.submitAndWait(command: Command.SubmitRequest): HttpResult {
+    val waiter = waiters.add(command)
+        ?: throw unavailable("too_many_waiting", "too many bytes wait on this host")
+    try {
+        val reply = client.call(command, settings.commandTimeoutMs)
+        val status = reply.expect<Reply.Work>(Ran.UNKNOWN).status
+        waiter.accepted = true
+        waiter.endBy(status)
+        val waitMs = command.deadlineInMs + settings.answerGraceMs
+        val ended = withTimeoutOrNull(waitMs) { waiter.ended.await() } ?: throw HttpError(
+            504,
+            "not_ended",
+            "the request has not ended by its deadline; ask for its status",
+            Ran.UNKNOWN
+        )
+        return ended.toResult(command.workId)
+    } finally {
+        waiters.remove(waiter)
+    }
+}
+
+/**
+ * Submits the request of [waiter] to a new session, so that its leader tells the end. The request
+ * is accepted, so a refusal says nothing about it, and another session will ask again.
+ */
+internal suspend fun EntryHost.askAgain(waiter: Waiter) {
+    val reply = client.call(waiter.command, settings.commandTimeoutMs)
+    if (reply is Reply.Work) waiter.endBy(reply.status)
+}
+
+private fun Waiter.endBy(status: WorkStatus) {
+    val outcome = status.outcome
+    if (status.stage != WorkStage.ENDED || outcome == null) return
+    ended.complete(Ended(outcome, status.answer, status.attempts))
+}
+
+private fun Ended.toResult(workId: WorkId): HttpResult {
+    val headers = buildMap {
+        put("Jackdawdale-Work-Id", workId.value)
+        put("Jackdawdale-Outcome", outcome.label)
+        attempts?.let { put("Jackdawdale-Attempts", it.toString()) }
+    }
+    val whole = answer
+    if (whole != null) {
+        return HttpResult(whole.status, whole.contentType, whole.body.bytes, headers)
+    }
+    return outcome.toError().toResult().with(headers)
+}
+
+private fun HttpResult.with(more: Map<String, String>): HttpResult =
+    HttpResult(status, contentType, body, headers + more)
+
+private fun WorkStatus.workHeaders(): Map<String, String> =
+    mapOf("Jackdawdale-Work-Id" to workId.value)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
@@ -0,0 +1,257 @@
+package dev.jackdawdale.wire
+
+import dev.jackdawdale.model.HeldAttempt
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.Refusal
+import io.ktor.network.selector.SelectorManager
+import java.util.concurrent.atomic.AtomicLong
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("dev.jackdawdale.wire")
+private const val LEADERSHIP_LOST_RETRY_MS = 100L
+private const val NO_LEADER_RETRY_AFTER_MS = 1_000L
+
+/** Default time that a call waits for its reply, in milliseconds. */
+internal const val CALL_TIMEOUT_MS = 10_000L
+
+/**
+ * What the entry host does with its session. The functions are called on transport threads, one at
+ * a time and in order, and must not block.
+ *
+ * @property held attempts in flight and finished ones that were not acknowledged; asked before
+ * each session, when no message of an earlier session can arrive any more
+ * @property onOpened the session stands; finished attempts are sent again now
+ */
+internal class ControlClientCallbacks(
+    val held: () -> List<HeldAttempt>,
+    val onOpened: (term: Long) -> Unit,
+    val onLost: () -> Unit,
+    val onMessage: (ControlMessage) -> Unit
+)
+
+/** The entry side of the session with the leader: finds it, keeps the session, makes calls. */
+internal class ControlClient(
+    private val settings: PeerSettings,
+    private val callbacks: ControlClientCallbacks
+) : AutoCloseable {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val calls = PendingCalls()
+    private val search = LeaderSearch(settings.controlHosts.keys.toList())
+    private val seenTerm = AtomicLong()
+
+    @Volatile
+    private var session: EntrySession? = null
+
+    @Volatile
+    private var draining = false
+
+    /** The greatest term that any leader told; dispatches of lower terms are refused. */
+    val highestTerm: Long get() = seenTerm.get()
+
+    /** Whether a leader has accepted the present session. */
+    val isOpen: Boolean get() = session?.accepted ?: false
+
+    fun start() {
+        scope.launch { keepSession() }
+    }
+
+    /** Tells the leader, now and with each heartbeat, that this host takes no new dispatches. */
+    fun announceDraining() {
+        draining = true
+        session?.link?.send(EntryMessage.SessionHeartbeat(draining = true))
+    }
+
+    /**
+     * Runs [command] at the leader. With [resend] it is sent again on each new session, which is
+     * safe because every command carries an id; otherwise a lost session ends the call.
+     *
+     * Without a reply within [timeoutMs] the result is [Reply.LeadershipLost] (unknown, ask
+     * again), or [Reply.Refused] when no session ever took the command.
+     */
+    suspend fun call(
+        command: Command,
+        timeoutMs: Long = CALL_TIMEOUT_MS,
+        resend: Boolean = true
+    ): Reply = await(calls.add(command, null, resend), timeoutMs)
+
+    /** Asks the leader; the errors are those of [call]. */
+    suspend fun query(query: Query, timeoutMs: Long = CALL_TIMEOUT_MS): Reply =
+        await(calls.add(null, query, resend = true), timeoutMs)
+
+    /** Queues a message outside of calls; false when there is no session. */
+    fun send(message: EntryMessage): Boolean {
+        val current = session ?: return false
+        return current.accepted && current.link.send(message)
+    }
+
+    override fun close() {
+        session?.link?.close("the host is stopping")
+        scope.cancel()
+        selector.close()
+        calls.inOrder().forEach(::endUnanswered)
+    }
+
+    private suspend fun await(call: PendingCall, timeoutMs: Long): Reply {
+        try {
+            // The session is looked up after the call is registered: either this send or the
+            // resend of a session that opens in between carries it.
+            session?.takeIf { it.accepted }?.let { transmit(call, it) }
+            val reply = withTimeoutOrNull(timeoutMs) { call.reply.await() }
+            if (reply == null) endUnanswered(call)
+            return call.reply.await()
+        } finally {
+            calls.remove(call)
+            session?.forget(call.callId)
+        }
+    }
+
+    private fun endUnanswered(call: PendingCall) = call.complete(
+        if (call.sent) {
+            Reply.LeadershipLost
+        } else {
+            Reply.Refused(Refusal.Unavailable("no control leader", NO_LEADER_RETRY_AFTER_MS))
+        }
+    )
+
+    private fun transmit(call: PendingCall, to: EntrySession) {
+        if (!to.firstSend(call.callId)) return
+        if (call.sent && !call.resend) return
+        call.sent = true
+        to.link.send(call.message())
+    }
+
+    private suspend fun keepSession() {
+        val backOff = BackOff(settings.reconnectMinMs, settings.reconnectMaxMs)
+        while (true) {
+            val hostId = search.next()
+            when (val end = runSession(hostId)) {
+                is SessionEnd.Redirected -> search.follow(end.leader)
+                is SessionEnd.Lost -> {
+                    if (end.wasOpen) search.follow(hostId)
+                    if (end.wasOpen) backOff.reset()
+                }
+            }
+            if (search.shouldPause()) delay(backOff.nextMs())
+        }
+    }
+
+    private suspend fun runSession(hostId: HostId): SessionEnd {
+        val address = settings.controlHosts.getValue(hostId)
+        val types = LinkTypes(
+            ControlMessage.serializer(),
+            EntryMessage.serializer(),
+            EntryMessage::weightBytes
+        )
+        val link = try {
+            dial(selector, settings, Role.ENTRY, hostId, address, types)
+        } catch (e: HandshakeFailed) {
+            log.warn("control host {}: {}", hostId, e.message)
+            return SessionEnd.Lost(wasOpen = false)
+        } catch (_: TimeoutCancellationException) {
+            return SessionEnd.Lost(wasOpen = false)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            log.debug("cannot connect to control host {}: {}", hostId, e.message)
+            return SessionEnd.Lost(wasOpen = false)
+        }
+        return carry(EntrySession(link))
+    }
+
+    private suspend fun carry(opening: EntrySession): SessionEnd {
+        session = opening
+        opening.link.send(
+            EntryMessage.SessionOpen(
+                hostId = settings.hostId,
+                incarnation = settings.incarnation,
+                failureDomain = settings.failureDomain,
+                highestTerm = highestTerm,
+                held = callbacks.held(),
+                draining = draining
+            )
+        )
+        val heartbeat = scope.launch { keepAlive(opening) }
+        try {
+            val reason = opening.link.run { receive(opening, it) }
+            log.info("session with {} ended: {}", opening.link.peer.hostId, reason)
+        } finally {
+            opening.link.close("the session ended")
+            heartbeat.cancel()
+            session = null
+            sessionLost(opening)
+        }
+        return opening.redirect ?: SessionEnd.Lost(opening.accepted)
+    }
+
+    private suspend fun keepAlive(current: EntrySession) {
+        while (true) {
+            delay(SESSION_HEARTBEAT_MS)
+            current.link.send(EntryMessage.SessionHeartbeat(draining))
+            if (current.silentMs() > settings.silenceTimeoutMs) {
+                current.link.close("no message from the control thread")
+            }
+        }
+    }
+
+    private fun sessionLost(lost: EntrySession) {
+        if (lost.accepted) callbacks.onLost()
+        calls.inOrder().filter { it.sent && !it.resend }.forEach(::endUnanswered)
+    }
+
+    private fun receive(from: EntrySession, message: ControlMessage) {
+        from.heard()
+        when (message) {
+            is ControlMessage.SessionAccepted -> opened(from, message.term)
+            is ControlMessage.NotLeader -> redirected(from, message.leader)
+            is ControlMessage.ReplyTo -> replied(message)
+            else -> callbacks.onMessage(message)
+        }
+    }
+
+    private fun opened(current: EntrySession, term: Long) {
+        if (term < highestTerm) return current.link.close("leader of the old term $term")
+        sawTerm(term)
+        current.accepted = true
+        callbacks.onOpened(term)
+        calls.inOrder().forEach { transmit(it, current) }
+    }
+
+    /** Records a term told by a leader. */
+    private fun sawTerm(term: Long) {
+        seenTerm.updateAndGet { maxOf(it, term) }
+    }
+
+    private fun redirected(from: EntrySession, leader: HostId?) {
+        from.redirect = SessionEnd.Redirected(leader)
+        from.link.close("the control host does not lead")
+    }
+
+    private fun replied(message: ControlMessage.ReplyTo) {
+        val call = calls[message.callId] ?: return
+        if (message.reply != Reply.LeadershipLost || !call.resend) {
+            return call.complete(message.reply)
+        }
+        scope.launch {
+            delay(LEADERSHIP_LOST_RETRY_MS)
+            val current = session?.takeIf { it.accepted } ?: return@launch
+            current.forget(call.callId)
+            transmit(call, current)
+        }
+    }
+}
+
+/** Makes the entry side of the session; nothing runs before [ControlClient.start]. */
+internal fun controlClient(
+    settings: PeerSettings,
+    callbacks: ControlClientCallbacks
+): ControlClient = ControlClient(settings, callbacks)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/wire/ControlSession.kt
@@ -0,0 +1,73 @@
+package dev.jackdawdale.wire
+
+import dev.jackdawdale.model.HostId
+
+/** The control side of a connection with an entry host. */
+internal interface ControlSession {
+    val hostId: HostId
+
+    /** Incarnation that the entry host proved in the handshake. */
+    val incarnation: Long
+
+    /** Queues [message]; false when the session is closed. Never blocks. */
+    fun send(message: ControlMessage): Boolean
+
+    fun close()
+}
+
+internal class LinkSession(val link: FrameLink<EntryMessage, ControlMessage>) : ControlSession {
+    override val hostId: HostId = link.peer.hostId
+    override val incarnation: Long = link.peer.incarnation
+
+    override fun send(message: ControlMessage): Boolean = link.send(message)
+
+    override fun close() = link.close("closed by the control side")
+}
+
+/**
+ * The open sessions, at most one for each entry host.
+ *
+ * A message of an older session is never delivered after a newer session of the same host has
+ * begun. Otherwise a command could be accepted late, after its resend was refused, and work that
+ * was reported as not run would run.
+ */
+internal class SessionTable(
+    private val onMessage: (ControlSession, EntryMessage) -> Unit,
+    private val onClosed: (ControlSession) -> Unit
+) {
+    private val byHost = HashMap<HostId, LinkSession>()
+
+    suspend fun run(session: LinkSession) {
+        if (!begin(session)) return session.link.close("a newer session of the host exists")
+        try {
+            session.link.run { message -> deliver(session, message) }
+        } finally {
+            end(session)
+        }
+    }
+
+    @Synchronized
+    fun closeAll(reason: String) = byHost.values.forEach { it.link.close(reason) }
+
+    @Synchronized
+    private fun begin(session: LinkSession): Boolean {
+        val older = byHost[session.hostId]
+        if (older != null && older.incarnation > session.incarnation) return false
+        byHost[session.hostId] = session
+        if (older != null) {
+            older.link.close("replaced by a newer session")
+            onClosed(older)
+        }
+        return true
+    }
+
+    @Synchronized
+    private fun deliver(session: LinkSession, message: EntryMessage) {
+        if (byHost[session.hostId] === session) onMessage(session, message)
+    }
+
+    @Synchronized
+    private fun end(session: LinkSession) {
+        if (byHost.remove(session.hostId, session)) onClosed(session)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/wire/EntrySession.kt
@@ -0,0 +1,65 @@
+package dev.jackdawdale.wire
+
+import dev.jackdawdale.model.HostId
+import java.util.concurrent.ConcurrentHashMap
+
+/** How a session ended. */
+internal sealed interface SessionEnd {
+    data class Redirected(val leader: HostId?) : SessionEnd
+
+    data class Lost(val wasOpen: Boolean) : SessionEnd
+}
+
+/** One connection of an entry host with a control host. */
+internal class EntrySession(val link: FrameLink<ControlMessage, EntryMessage>) {
+    private val sentCalls = ConcurrentHashMap.newKeySet<Long>()
+
+    @Volatile
+    private var lastHeardNanos = System.nanoTime()
+
+    @Volatile
+    var accepted = false
+
+    /** Set when the control host said that it does not lead. */
+    @Volatile
+    var redirect: SessionEnd.Redirected? = null
+
+    /** True the first time that [callId] is sent on this session. */
+    fun firstSend(callId: Long): Boolean = sentCalls.add(callId)
+
+    fun forget(callId: Long) {
+        sentCalls.remove(callId)
+    }
+
+    fun heard() {
+        lastHeardNanos = System.nanoTime()
+    }
+
+    fun silentMs(): Long = (System.nanoTime() - lastHeardNanos) / 1_000_000
+}
+
+/** Chooses which control host to try: the hinted one first, then each in turn. */
+internal class LeaderSearch(private val hosts: List<HostId>) {
+    private var turn = 0
+    private var hint: HostId? = null
+    private var triedSincePause = 0
+
+    fun next(): HostId {
+        val hinted = hint
+        hint = null
+        triedSincePause++
+        if (hinted != null) return hinted
+        return hosts[turn++ % hosts.size]
+    }
+
+    fun follow(leader: HostId?) {
+        if (leader in hosts) hint = leader
+    }
+
+    /** True after each round of attempts, so that a search without a leader does not spin. */
+    fun shouldPause(): Boolean {
+        if (triedSincePause < hosts.size) return false
+        triedSincePause = 0
+        return true
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/wire/FrameLink.kt
@@ -0,0 +1,153 @@
+package dev.jackdawdale.wire
+
+import dev.jackdawdale.model.cellCbor
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("dev.jackdawdale.wire")
+
+/** What one message costs in the queue besides its bodies. */
+internal const val MESSAGE_OVERHEAD_BYTES = 256L
+
+/** The message types of one connection; [weightBytes] estimates the size of a queued message. */
+internal class LinkTypes<I, O>(
+    val incoming: KSerializer<I>,
+    val outgoing: KSerializer<O>,
+    val weightBytes: (O) -> Long
+)
+
+/**
+ * A connection after its handshake. [send] only queues; the messages are encoded and written by
+ * [run]. A queue over its bounds closes the connection, because a peer that does not read would
+ * otherwise hold this process's memory.
+ */
+internal class FrameLink<I, O>(
+    private val raw: RawLink,
+    val peer: Hello,
+    private val types: LinkTypes<I, O>,
+    private val settings: PeerSettings
+) {
+    private val queue = Channel<O?>(Channel.UNLIMITED)
+    private val queuedMessages = AtomicInteger()
+    private val queuedBytes = AtomicLong()
+    private val closeReason = AtomicReference<String?>()
+
+    @Volatile
+    private var lastFrameNanos = System.nanoTime()
+
+    /** Why the connection is closed, or null while it is open. */
+    val closedBecause: String? get() = closeReason.get()
+
+    /** Queues [message]; false when the connection is closed or just overflowed. */
+    fun send(message: O): Boolean {
+        if (closeReason.get() != null) return false
+        val bytes = queuedBytes.addAndGet(types.weightBytes(message))
+        val messages = queuedMessages.incrementAndGet()
+        if (messages > settings.maxQueuedMessages || bytes > settings.maxQueuedBytes) {
+            close("send queue overflow: $messages messages, $bytes bytes")
+            return false
+        }
+        return queue.trySend(message).isSuccess
+    }
+
+    /** Closes the socket; [run] returns soon after. Safe to call from any thread, repeatedly. */
+    fun close(reason: String) {
+        if (!closeReason.compareAndSet(null, reason)) return
+        queue.close()
+        raw.abort()
+    }
+
+    /** Carries messages until the connection is closed; returns the reason. */
+    suspend fun run(onMessage: (I) -> Unit): String {
+        coroutineScope {
+            val writer = launch { closingOnFailure { writeQueued() } }
+            val watchdog = launch { watchSilence() }
+            closingOnFailure { readFrames(onMessage) }
+            close("closed by the peer")
+            writer.cancel()
+            watchdog.cancel()
+        }
+        return closeReason.get() ?: "closed"
+    }
+
+    private suspend fun readFrames(onMessage: (I) -> Unit) {
+        while (closeReason.get() == null) {
+            val frame = raw.input.readFrame(settings.maxFrameBytes)
+            val silentMs = silentMs()
+            // After a pause of this process or of the network the messages may be long overtaken.
+            if (silentMs > settings.silenceTimeoutMs) return close("silent for $silentMs ms")
+            lastFrameNanos = System.nanoTime()
+            if (frame.isNotEmpty()) onMessage(decode(frame))
+        }
+    }
+
+    private fun decode(frame: ByteArray): I = try {
+        cellCbor.decodeFromByteArray(types.incoming, frame)
+    } catch (e: SerializationException) {
+        throw BadFrame("undecodable message of ${frame.size} bytes", e)
+    } catch (e: IllegalArgumentException) {
+        throw BadFrame("undecodable message of ${frame.size} bytes", e)
+    }
+
+    private suspend fun writeQueued() {
+        for (first in queue) {
+            writeOne(first)
+            while (true) {
+                val next = queue.tryReceive()
+                if (!next.isSuccess) break
+                writeOne(next.getOrNull())
+            }
+            raw.output.flush()
+        }
+    }
+
+    private suspend fun writeOne(message: O?) {
+        if (message == null) return raw.output.writeFrame(emptyFrame)
+        queuedMessages.decrementAndGet()
+        queuedBytes.addAndGet(-types.weightBytes(message))
+        val frame = cellCbor.encodeToByteArray(types.outgoing, message)
+        if (frame.size > settings.maxFrameBytes) {
+            val kind = (message as Any)::class.simpleName
+            log.error("dropped a {} of {} bytes to {}", kind, frame.size, peer.hostId)
+            return
+        }
+        raw.output.writeFrame(frame)
+    }
+
+    private suspend fun CoroutineScope.watchSilence() {
+        while (closeReason.get() == null) {
+            delay(settings.heartbeatMs)
+            queue.trySend(null)
+            val silentMs = silentMs()
+            if (silentMs > settings.silenceTimeoutMs) close("silent for $silentMs ms")
+        }
+    }
+
+    private fun silentMs(): Long = (System.nanoTime() - lastFrameNanos) / 1_000_000
+
+    private suspend fun closingOnFailure(block: suspend () -> Unit) {
+        try {
+            block()
+        } catch (e: CancellationException) {
+            close("stopped")
+            throw e
+        } catch (e: BadFrame) {
+            log.warn("bad frame from {}: {}", peer.hostId, e.message)
+            close(e.message ?: "bad frame")
+        } catch (e: Exception) {
+            close("broken: ${e.message ?: e::class.simpleName}")
+        }
+    }
+}
+
+private val emptyFrame = ByteArray(0)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/wire/PeerSettings.kt
@@ -0,0 +1,42 @@
+package dev.jackdawdale.wire
+
+import dev.jackdawdale.model.FailureDomain
+import dev.jackdawdale.model.HostId
+
+/** IP address and port of a process of the system. */
+internal data class PeerAddress(val address: String, val port: Int)
+
+/**
+ * How this process talks to the other processes of the system.
+ *
+ * @property hostId name of this host; unique in the cluster
+ * @property incarnation rises each time the process starts
+ * @property port port to listen on; 0 takes a free one
+ * @property clusterKey shared secret that each side proves in the handshake
+ * @property controlHosts control hosts by name, this one included when it has the role
+ * @property maxQueuedMessages messages that may wait for one peer before the connection is closed
+ * @property maxQueuedBytes estimated size of these messages
+ * @property heartbeatMs interval of empty frames that show a live connection
+ * @property silenceTimeoutMs a connection without any frame for this time is closed
+ * @property maxUnprovedConnections accepted connections whose handshake may be under way at once
+ */
+internal data class PeerSettings(
+    val hostId: HostId,
+    val incarnation: Long,
+    val failureDomain: FailureDomain = FailureDomain("local"),
+    val clusterId: String = "local",
+    val clusterKey: ByteArray,
+    val address: String = "127.0.0.1",
+    val port: Int = 0,
+    val controlHosts: Map<HostId, PeerAddress> = emptyMap(),
+    val maxFrameBytes: Int = 4 * 1024 * 1024,
+    val maxQueuedMessages: Int = 16_384,
+    val maxQueuedBytes: Long = 32L * 1024 * 1024,
+    val connectTimeoutMs: Long = 1_000,
+    val handshakeTimeoutMs: Long = 2_000,
+    val heartbeatMs: Long = SESSION_HEARTBEAT_MS,
+    val silenceTimeoutMs: Long = SESSION_TIMEOUT_MS,
+    val reconnectMinMs: Long = 50,
+    val reconnectMaxMs: Long = 1_000,
+    val maxUnprovedConnections: Int = 256
+)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/wire/PendingCalls.kt
@@ -0,0 +1,61 @@
+package dev.jackdawdale.wire
+
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
+
+/** A command or query that waits for its reply. */
+internal class PendingCall(
+    val callId: Long,
+    private val command: Command?,
+    private val query: Query?,
+    val resend: Boolean
+) {
+    private val createdNanos = System.nanoTime()
+    private val completion = CompletableDeferred<Reply>()
+    val reply: Deferred<Reply> get() = completion
+
+    /** True once a session took the call: from then on it may have had an effect. */
+    @Volatile
+    var sent = false
+
+    fun complete(reply: Reply) {
+        completion.complete(reply)
+    }
+
+    /** The message for a session; the relative deadline shrinks by the time spent so far. */
+    fun message(): EntryMessage {
+        if (query != null) return EntryMessage.QueryCall(callId, query)
+        return EntryMessage.CommandCall(callId, checkNotNull(command).aged())
+    }
+
+    private fun Command.aged(): Command {
+        if (this !is Command.SubmitRequest) return this
+        val spentMs = (System.nanoTime() - createdNanos) / 1_000_000
+        return copy(deadlineInMs = (deadlineInMs - spentMs).coerceAtLeast(1))
+    }
+}
+
+/** The calls that wait for a reply, by call id. */
+internal class PendingCalls {
+    private val nextId = AtomicLong(1)
+    private val byId = ConcurrentHashMap<Long, PendingCall>()
+
+    val size: Int get() = byId.size
+
+    fun add(command: Command?, query: Query?, resend: Boolean): PendingCall {
+        val call = PendingCall(nextId.getAndIncrement(), command, query, resend)
+        byId[call.callId] = call
+        return call
+    }
+
+    operator fun get(callId: Long): PendingCall? = byId[callId]
+
+    fun remove(call: PendingCall) {
+        byId.remove(call.callId)
+    }
+
+    /** All waiting calls in the order in which they were made. */
+    fun inOrder(): List<PendingCall> = byId.values.sortedBy { it.callId }
+}
--- a/src/main/kotlin/dev/jackdawdale/wire/SessionMessages.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/SessionMessages.kt
@@ -89,6 +89,9 @@
      *
      * @property validForMs the first byte leaves within this time of receipt, or never
      * @property deadlineInMs give the attempt up after this time from receipt
+     * @property maxIdleConnections connections that this entry host may keep open to the endpoint
+     * without a request on them: (connections - slots) / entry hosts keeps the sum over all entry
+     * hosts within the declared connections, because requests in flight hold at most the slots
      */
     @Serializable
     @SerialName("dispatch")
@@ -104,7 +107,8 @@
         val contentType: String,
         val body: Blob,
         val validForMs: Long,
-        val deadlineInMs: Long
+        val deadlineInMs: Long,
+        val maxIdleConnections: Int = 4
     ) : ControlMessage
 
     /** The result of the attempt is durable; the entry host may forget it. */
@@ -112,11 +116,19 @@
     @SerialName("attemptAcknowledged")
     data class AttemptAcknowledged(val workId: WorkId, val token: FencingToken) : ControlMessage
 
-    /** A request for which this entry host waits has ended. */
+    /**
+     * A request for which this entry host waits has ended.
+     *
+     * @property attempts placements that may have reached an endpoint, or null when not told
+     */
     @Serializable
     @SerialName("requestEnded")
-    data class RequestEnded(val workId: WorkId, val outcome: Outcome, val answer: Answer?) :
-        ControlMessage
+    data class RequestEnded(
+        val workId: WorkId,
+        val outcome: Outcome,
+        val answer: Answer?,
+        val attempts: Int? = null
+    ) : ControlMessage
 
     /**
      * Sent every [SESSION_HEARTBEAT_MS] by a leader that heard a quorum within the last second.
