Thin product: settings, sample endpoint and worker, serve and check-config

The lead and the other parts need a loaded Settings value and something to serve requests and run tasks before the rest of the product exists.

serve is a function (Settings) -> Int handed to rootCommandLine.

--- a/src/main/kotlin/dev/jackdawdale/cli/Main.kt
+++ b/src/main/kotlin/dev/jackdawdale/cli/Main.kt
@@ -11,9 +11,17 @@
     mixinStandardHelpOptions = true,
     version = ["jackdawdale 0.1.0"]
 )
-internal class RootCommand
+internal class RootCommand : Runnable {
+    override fun run() = CommandLine(this).usage(System.out)
+}
 
-internal fun rootCommandLine(): CommandLine = CommandLine(RootCommand())
+/** Makes the command line; [serve] runs the process of the system. */
+internal fun rootCommandLine(serve: Serve = ::serveIsNotWired): CommandLine =
+    CommandLine(RootCommand())
+        .addSubcommand(ServeCommand(serve))
+        .addSubcommand(CheckConfigCommand())
+        .addSubcommand(sampleCommandLine())
+        .setCaseInsensitiveEnumValuesAllowed(true)
 
 /** Runs one command and exits with its status. */
 fun main(args: Array<String>) {
