Route requests by size class with constant cost per event

The thin version scanned and sorted all waiting requests for every placement, and long work could take every slot.

Waiting requests are kept in groups of one customer, service and kind. A group is short or long by its measured run time and changes class as a whole, so a changed estimate costs the same however many requests wait. Endpoints that failed pause and are probed. Requests that cannot meet their deadline by their measured run time get only spare slots.

Not measured yet.

--- a/src/main/kotlin/dev/jackdawdale/routing/Route.kt
+++ b/src/main/kotlin/dev/jackdawdale/routing/Route.kt
@@ -1,24 +1,25 @@
 package dev.jackdawdale.routing
 
 import dev.jackdawdale.model.CellState
-import dev.jackdawdale.model.EndpointPhase
+import dev.jackdawdale.model.EntryHost
 import dev.jackdawdale.model.Event
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.model.Outcome
 import dev.jackdawdale.model.RequestWork
 import dev.jackdawdale.model.WorkId
-import dev.jackdawdale.model.apply
-import dev.jackdawdale.model.freeSlots
 
 /**
  * The result of one pass.
  *
- * @property events to append in order, each passed to [observe] of [routing]
+ * @property events to append in order; each is then passed to [observe] of [routing]
  * @property routing the state with the effects of time, without those of [events]
  */
 internal data class RouteDecision(val events: List<Event>, val routing: RoutingState)
 
-/** Places waiting requests on free slots and ends those past their deadline; at most [limit]. */
+/**
+ * Places waiting requests on free slots and ends those past their deadline, at most [limit] events.
+ * The cost of a placement does not grow with the amount of waiting work.
+ */
 internal fun route(
     state: CellState,
     routing: RoutingState,
@@ -26,54 +27,53 @@
     nowMs: Long,
     limit: Int
 ): RouteDecision {
-    val events = mutableListOf<Event>()
-    var current = state
-    val waiting = state.requests.values
-        .filter { it.placement == null && it.notBeforeMs <= nowMs }
-        .sortedBy { it.spec.deadlineMs }
-    for (work in waiting) {
-        if (events.size >= limit) break
-        val event = nextEvent(current, routing, work, liveEntryHosts, nowMs) ?: continue
-        events += event
-        current = current.apply(event, nowMs)
+    val hosts = state.entryHosts.values
+        .filter { it.hostId in liveEntryHosts && !it.draining }
+        .sortedBy { it.hostId.value }
+    val pass = RoutePass(state, routing.advanced(nowMs), nowMs)
+    while (pass.events.size < limit) {
+        val overdue = pass.nextPastDeadline() ?: break
+        pass.append(endPastDeadline(overdue))
+    }
+    if (hosts.isEmpty()) return RouteDecision(pass.events, pass.timed)
+    for (name in routing.services.keys) {
+        while (pass.events.size < limit) {
+            val choice = pass.nextChoice(name) ?: break
+            pass.append(placement(pass, choice, hosts, nowMs))
+        }
     }
-    return RouteDecision(events, routing)
+    return RouteDecision(pass.events, pass.timed)
 }
 
-private fun nextEvent(
-    state: CellState,
-    routing: RoutingState,
-    work: RequestWork,
-    liveEntryHosts: Set<HostId>,
-    nowMs: Long
-): Event? {
-    val workId = work.spec.workId
-    if (work.spec.deadlineMs <= nowMs) {
-        val outcome = if (work.attempts == 0) {
-            Outcome.DeadlineExceeded
-        } else {
-            Outcome.MayHaveRun("its deadline passed after an attempt that may have run")
-        }
-        return Event.RequestEnded(workId, outcome)
+private fun endPastDeadline(work: RequestWork): Event {
+    val outcome = if (work.attempts == 0) {
+        Outcome.DeadlineExceeded
+    } else {
+        Outcome.MayHaveRun("its deadline passed after an attempt that may have run")
     }
-    val endpoint = state.endpoints.values
-        .filter { it.info.service == work.spec.service && it.phase == EndpointPhase.ACTIVE }
-        .filter { it.freeSlots > 0 && it.info.endpointId !in work.failedOn }
-        .maxByOrNull { it.freeSlots } ?: return null
-    val hosts = state.entryHosts.values.filter { it.hostId in liveEntryHosts && !it.draining }
-    val host = hosts.firstOrNull { it.hostId == work.entryHostId } ?: hosts.firstOrNull()
-    if (host == null) return null
+    return Event.RequestEnded(work.spec.workId, outcome)
+}
+
+private fun placement(pass: RoutePass, choice: Choice, hosts: List<EntryHost>, nowMs: Long): Event {
+    val workId = choice.work.spec.workId
+    val host = entryHostFor(choice.work, hosts)
+    val validMs = pass.current.settings.dispatchValidMs
     return Event.RequestPlaced(
         workId = workId,
-        endpointId = endpoint.info.endpointId,
-        endpointIncarnation = endpoint.info.incarnation,
+        endpointId = choice.endpointId,
+        endpointIncarnation = choice.endpointIncarnation,
         entryHostId = host.hostId,
         entryIncarnation = host.incarnation,
-        token = state.nextToken,
-        expiresAtMs = nowMs + routing.settings.dispatchValidMs
+        token = pass.state.nextToken,
+        expiresAtMs = minOf(nowMs + validMs, choice.work.spec.deadlineMs)
     )
 }
 
+/** The host where the caller waits, or else any live one, spread by the work id. */
+private fun entryHostFor(work: RequestWork, hosts: List<EntryHost>): EntryHost =
+    hosts.firstOrNull { it.hostId == work.entryHostId }
+        ?: hosts[Math.floorMod(work.spec.workId.value.hashCode(), hosts.size)]
+
 /** Why the request waits, for operators and callers; null when it does not wait. */
 internal fun waitingReason(
     state: CellState,
@@ -82,6 +82,27 @@
     nowMs: Long
 ): String? {
     val work = state.requests[workId]?.takeIf { it.placement == null } ?: return null
-    if (work.notBeforeMs > nowMs) return "waits ${work.notBeforeMs - nowMs} ms before a retry"
-    return "waits for a free slot (${routing.settings.dispatchValidMs} ms)"
+    val known = routing.waiting[workId] ?: return "waits to be queued"
+    val service = routing.service(work.spec.service)
+    val customerId = work.spec.customerId
+    val pool = service.pool
+    val group = routing.groups[known.group]
+    return when {
+        work.notBeforeMs > nowMs ->
+            "waits ${work.notBeforeMs - nowMs} ms until its next attempt"
+        pool.active == 0 -> "no active endpoint serves ${work.spec.service}"
+        !routing.mayRun(customerId) ->
+            "$customerId runs ${routing.running[customerId] ?: 0} requests, as many as its " +
+                "contract allows (max_running_requests)"
+        pool.healthySlots == 0 -> "every endpoint of ${work.spec.service} failed lately"
+        known.standing == Standing.Late ->
+            "by its measured run time it cannot meet its deadline; it waits for a spare slot"
+        known.standing is Standing.Paused -> "every endpoint on which it did not fail is busy"
+        group != null && group.size == SizeClass.LONG ->
+            "waits for a slot for long work of ${work.spec.service}: ${pool.longRunning} of " +
+                "${pool.longLimit(routing.settings)} are held"
+        group != null && group.head(routing.settings) == null ->
+            "the first requests of kind \"${work.spec.kind}\" are being measured"
+        else -> "waits for a free slot of ${work.spec.service}"
+    }
 }
