Thin tasks: place tasks on workers and recover them

The control thread needs the decisions about jobs and tasks before their policies are tuned, so that the modules around them can be joined.

--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/placement/FailedDemands.kt
@@ -0,0 +1,21 @@
+package dev.jackdawdale.placement
+
+import dev.jackdawdale.model.Resources
+import dev.jackdawdale.model.fitsInto
+
+/** Demands that found no worker in this pass; a larger one need not be tried. */
+internal class FailedDemands {
+    private val failed = mutableListOf<FailedDemand>()
+
+    fun add(demand: Demand) {
+        if (demand.avoided.isNotEmpty()) return
+        failed += FailedDemand(demand.need, demand.endsByMs ?: Long.MAX_VALUE)
+    }
+
+    fun covers(demand: Demand): Boolean {
+        val endsByMs = demand.endsByMs ?: Long.MAX_VALUE
+        return failed.any { it.endsByMs <= endsByMs && it.need.fitsInto(demand.need) }
+    }
+}
+
+private data class FailedDemand(val need: Resources, val endsByMs: Long)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/recovery/TaskRecoveryState.kt
@@ -0,0 +1,151 @@
+package dev.jackdawdale.recovery
+
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.CustomerId
+import dev.jackdawdale.model.FencingToken
+import dev.jackdawdale.model.Resources
+import dev.jackdawdale.model.TaskId
+import dev.jackdawdale.model.TaskPhase
+import dev.jackdawdale.model.WorkId
+import dev.jackdawdale.model.Worker
+import dev.jackdawdale.model.WorkerId
+import dev.jackdawdale.model.WorkerPhase
+import dev.jackdawdale.model.fitsInto
+import dev.jackdawdale.model.plus
+import dev.jackdawdale.model.tasksOf
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.mutate
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentHashSetOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.plus
+
+/**
+ * What the leader remembers of a worker.
+ *
+ * @property leaseUntilMs when the lease runs out that the worker got last
+ * @property leaving the worker itself asked to be drained
+ * @property overuseStopMs when a task was last stopped here for overuse
+ */
+internal data class WorkerContact(
+    val lastHeardMs: Long,
+    val leaseUntilMs: Long,
+    val leaving: Boolean = false,
+    val overuseStopMs: Long = 0
+)
+
+/** One attempt of a task. */
+internal data class TaskAttempt(val taskId: TaskId, val token: FencingToken)
+
+/** A task that failed on a worker, with its job. */
+internal data class FailedTask(val taskId: TaskId, val workId: WorkId)
+
+/**
+ * What is known of a job's failures.
+ *
+ * @property mostFailures most failures of one of its tasks
+ * @property crashedOn workers on which a task of it failed soon after its start
+ * @property lastDetail what a worker reported with the last failure
+ */
+internal data class JobFailures(
+    val mostFailures: Int = 0,
+    val crashedOn: PersistentSet<WorkerId> = persistentHashSetOf(),
+    val lastDetail: String = ""
+)
+
+/**
+ * Soft state of the recovery of tasks.
+ *
+ * @property use what each customer's tasks count for
+ * @property timeLimits started attempts by the second in which their time is over
+ * @property checkedSec last second whose time limits were checked
+ * @property changedJobs jobs whose end has to be considered, in order
+ * @property oversized jobs that no known worker can hold, with the time of their acceptance
+ * @property sizes capacities of all workers ever seen by this leader
+ * @property workerFailures tasks that failed on a worker since its last success
+ * @property missing tasks that their workers did not report, with the time of the first omission
+ * @property overusing tasks that use more than they count for, with the time of the first report
+ * @property quarantined workers in quarantine since when
+ */
+internal data class TaskRecoveryState(
+    val settings: TaskRecoverySettings = TaskRecoverySettings(),
+    val contacts: PersistentMap<WorkerId, WorkerContact> = persistentHashMapOf(),
+    val use: PersistentMap<CustomerId, Resources> = persistentHashMapOf(),
+    val timeLimits: PersistentMap<Long, PersistentSet<TaskAttempt>> = persistentHashMapOf(),
+    val checkedSec: Long = 0,
+    val changedJobs: PersistentSet<WorkId> = persistentSetOf(),
+    val oversized: PersistentMap<WorkId, Long> = persistentMapOf(),
+    val sizes: PersistentSet<Resources> = persistentHashSetOf(),
+    val workerFailures: PersistentMap<WorkerId, PersistentSet<FailedTask>> = persistentHashMapOf(),
+    val jobFailures: PersistentMap<WorkId, JobFailures> = persistentHashMapOf(),
+    val missing: PersistentMap<TaskId, Long> = persistentHashMapOf(),
+    val overusing: PersistentMap<TaskId, Long> = persistentHashMapOf(),
+    val draining: PersistentSet<WorkerId> = persistentHashSetOf(),
+    val quarantined: PersistentMap<WorkerId, Long> = persistentHashMapOf(),
+    val dedupMovedAtMs: Long = 0
+)
+
+/**
+ * Builds the recovery state of a new leader. Every lease counts as renewed just now, because the
+ * former leader may have renewed it just before.
+ */
+internal fun taskRecoveryState(
+    state: CellState,
+    nowMs: Long,
+    settings: TaskRecoverySettings = TaskRecoverySettings()
+): TaskRecoveryState {
+    val empty = TaskRecoveryState(settings, checkedSec = nowMs / MS_PER_SEC)
+    val withWorkers = state.workers.values.fold(empty) { all, worker -> all.met(worker, nowMs) }
+    return state.jobs.values.fold(withWorkers) { all, job ->
+        val changed = all.copy(changedJobs = all.changedJobs + job.spec.workId)
+            .noteSize(job.spec, nowMs)
+        state.tasksOf(job).fold(changed) { sum, task ->
+            val counted = task.placement?.counted ?: return@fold sum.noteFailures(task)
+            val customerId = job.spec.customerId
+            val held = (sum.use[customerId] ?: Resources()) + counted
+            val started = if (task.phase == TaskPhase.PLACED) sum else sum.limit(job.spec, task)
+            started.copy(use = sum.use.put(customerId, held)).noteFailures(task)
+        }
+    }
+}
+
+private fun TaskRecoveryState.met(worker: Worker, nowMs: Long): TaskRecoveryState {
+    val id = worker.info.workerId
+    val contact = WorkerContact(nowMs, nowMs + settings.leaseMs)
+    return copy(
+        contacts = contacts.put(id, contact),
+        sizes = sizes + worker.info.capacity,
+        draining = if (worker.phase == WorkerPhase.DRAINING) draining + id else draining,
+        quarantined =
+        if (worker.phase == WorkerPhase.QUARANTINED) quarantined.put(id, nowMs) else quarantined
+    )
+}
+
+/** The recovery state after a reply left the leader that renews the lease of [workerId]. */
+internal fun leaseGranted(
+    recovery: TaskRecoveryState,
+    workerId: WorkerId,
+    nowMs: Long
+): TaskRecoveryState {
+    val contact = recovery.contacts[workerId] ?: return recovery
+    val untilMs = maxOf(contact.leaseUntilMs, nowMs + recovery.settings.leaseMs)
+    val renewed = contact.copy(leaseUntilMs = untilMs)
+    return recovery.copy(contacts = recovery.contacts.put(workerId, renewed))
+}
+
+/** True when some worker that this leader has seen could hold a task of size [need]. */
+internal fun TaskRecoveryState.fitsSomeWorker(need: Resources): Boolean =
+    sizes.any { need.fitsInto(it) }
+
+internal const val MS_PER_SEC = 1_000L
+
+/** Applies [change] to the contact of a known worker. */
+internal fun TaskRecoveryState.contacted(
+    workerId: WorkerId,
+    change: (WorkerContact) -> WorkerContact
+): TaskRecoveryState {
+    val contact = contacts[workerId] ?: return this
+    return copy(contacts = contacts.mutate { it[workerId] = change(contact) })
+}
