--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/bench/VirtualCell.kt
@@ -0,0 +1,88 @@
+package dev.jackdawdale.bench
+
+import dev.jackdawdale.admission.AdmissionDecision
+import dev.jackdawdale.admission.AdmissionSettings
+import dev.jackdawdale.admission.AdmissionState
+import dev.jackdawdale.admission.admissionState
+import dev.jackdawdale.admission.decideRequest
+import dev.jackdawdale.admission.observe
+import dev.jackdawdale.model.AttemptResult
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.Event
+import dev.jackdawdale.model.FencingToken
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.RequestSpec
+import dev.jackdawdale.model.WorkId
+import dev.jackdawdale.model.apply
+import dev.jackdawdale.recovery.AttemptRecoverySettings
+import dev.jackdawdale.recovery.AttemptRecoveryState
+import dev.jackdawdale.recovery.attemptRecoveryState
+import dev.jackdawdale.recovery.decideAttempt
+import dev.jackdawdale.recovery.observe
+import dev.jackdawdale.routing.RoutingSettings
+import dev.jackdawdale.routing.RoutingState
+import dev.jackdawdale.routing.observe
+import dev.jackdawdale.routing.route
+import dev.jackdawdale.routing.routingState
+
+/**
+ * A cell's replicated state with the soft states of the request decisions, driven by direct calls
+ * as the control thread of a leader drives them.
+ */
+internal class VirtualCell(
+    var nowMs: Long = 0,
+    private val routingSettings: RoutingSettings = RoutingSettings(),
+    private val admissionSettings: AdmissionSettings = AdmissionSettings(),
+    private val recoverySettings: AttemptRecoverySettings = AttemptRecoverySettings()
+) {
+    var state: CellState = CellState()
+        private set
+    var admission: AdmissionState = admissionState(state, nowMs, admissionSettings)
+        private set
+    var routing: RoutingState = routingState(state, nowMs, routingSettings)
+        private set
+    var recovery: AttemptRecoveryState = attemptRecoveryState(state, nowMs, recoverySettings)
+        private set
+
+    fun append(event: Event) {
+        val before = state
+        val after = before.apply(event, nowMs)
+        admission = admission.observe(event, before, after, nowMs)
+        routing = routing.observe(event, before, after, nowMs)
+        recovery = recovery.observe(event, before, after, nowMs)
+        state = after
+    }
+
+    fun append(events: List<Event>) = events.forEach(::append)
+
+    fun submit(spec: RequestSpec, entryHostId: HostId): AdmissionDecision {
+        val decision = decideRequest(state, admission, spec, entryHostId, nowMs)
+        if (decision is AdmissionDecision.Admitted) append(decision.events)
+        return decision
+    }
+
+    /** One pass of routing; the events of it. */
+    fun routeOnce(
+        live: Set<HostId> = state.entryHosts.keys,
+        limit: Int = Int.MAX_VALUE
+    ): List<Event> {
+        val decision = route(state, routing, live, nowMs, limit)
+        routing = decision.routing
+        append(decision.events)
+        return decision.events
+    }
+
+    /** The end of an attempt; the events that follow from it. */
+    fun finish(workId: WorkId, token: FencingToken, result: AttemptResult): List<Event> {
+        val events = decideAttempt(state, recovery, workId, token, result, nowMs)
+        append(events)
+        return events
+    }
+
+    /** A new leader takes over: the soft states are rebuilt from the replicated state. */
+    fun changeLeader() {
+        admission = admissionState(state, nowMs, admissionSettings)
+        routing = routingState(state, nowMs, routingSettings)
+        recovery = attemptRecoveryState(state, nowMs, recoverySettings)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/admission/RequestAdmissionTest.kt
@@ -0,0 +1,162 @@
+package dev.jackdawdale.admission
+
+import dev.jackdawdale.bench.VirtualCell
+import dev.jackdawdale.model.ChangeId
+import dev.jackdawdale.model.Contract
+import dev.jackdawdale.model.Event
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.Outcome
+import dev.jackdawdale.model.Refusal
+import dev.jackdawdale.model.RequestSpec
+import dev.jackdawdale.model.Urgency
+import dev.jackdawdale.model.WhenFull
+import dev.jackdawdale.model.blob
+import dev.jackdawdale.model.sampleContract
+import dev.jackdawdale.model.sampleEndpoint
+import dev.jackdawdale.model.sampleRequest
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+
+private val host = HostId("e1")
+
+private fun cell(vararg contracts: Contract, maxQueued: Int = 50_000): VirtualCell {
+    val cell = VirtualCell(nowMs = 1_000, admissionSettings = AdmissionSettings(maxQueued))
+    contracts.forEach { cell.append(Event.ContractChanged(ChangeId("c-${it.customerId}"), it)) }
+    return cell
+}
+
+private fun VirtualCell.refusalOf(spec: RequestSpec): Refusal? =
+    (submit(spec, host) as? AdmissionDecision.Refused)?.refusal
+
+private fun VirtualCell.submitMany(customer: String, count: Int, deadlineMs: Long = 60_000) =
+    repeat(count) { refusalOf(sampleRequest(customer, "$customer-$it", true, deadlineMs + it)) }
+
+private data class RefusalCase(
+    val name: String,
+    val contract: Contract = sampleContract("sri"),
+    val earlier: Int = 0,
+    val spec: RequestSpec = sampleRequest("sri", "new"),
+    val expected: Refusal?
+)
+
+private val sri = sampleContract("sri")
+
+class RequestAdmissionTest :
+    FunSpec({
+        context("refusals") {
+            withData(
+                nameFn = { it.name },
+                RefusalCase("work inside the contract is refused", expected = null),
+                RefusalCase(
+                    "work without a contract runs",
+                    contract = sampleContract("teku"),
+                    expected = Refusal.NoContract(sri.customerId)
+                ),
+                RefusalCase(
+                    "the rate of the contract is not kept",
+                    contract = sri.copy(requestBurst = 3, requestRatePerSec = 4),
+                    earlier = 3,
+                    expected = Refusal.LimitReached("request_rate_per_sec", 4, 250)
+                ),
+                RefusalCase(
+                    "a rate of 0 names a time at which to retry in vain",
+                    contract = sri.copy(requestBurst = 3, requestRatePerSec = 0),
+                    earlier = 3,
+                    expected = Refusal.LimitReached("request_rate_per_sec", 0, null)
+                ),
+                RefusalCase(
+                    "an urgency outside the contract is accepted",
+                    contract = sri.copy(urgencies = setOf(Urgency.NORMAL)),
+                    spec = sampleRequest("sri", "new").copy(urgency = Urgency.URGENT),
+                    expected = Refusal.UrgencyNotAllowed(Urgency.URGENT)
+                ),
+                RefusalCase(
+                    "a deadline beyond the contract holds a queue place for ever",
+                    spec = sampleRequest("sri", "new", deadlineMs = 9_000_000),
+                    expected = Refusal.LimitReached("max_deadline_ms", 3_600_000, null)
+                ),
+                RefusalCase(
+                    "work whose deadline passed is accepted",
+                    spec = sampleRequest("sri", "new", deadlineMs = 1_000),
+                    expected = Refusal.Invalid("deadline_ms", "must be in the future")
+                ),
+                RefusalCase(
+                    "work that may never run waits for ever",
+                    contract = sri.copy(maxRunningRequests = 0),
+                    expected = Refusal.LimitReached("max_running_requests", 0, null)
+                )
+            ) { case ->
+                val cell = cell(case.contract)
+                cell.submitMany("sri", case.earlier)
+                cell.refusalOf(case.spec) shouldBe case.expected
+            }
+        }
+
+        test("a refused rate does not recover after the time that the refusal named") {
+            val cell = cell(sri.copy(requestBurst = 1, requestRatePerSec = 4))
+            cell.submitMany("sri", 1)
+            cell.nowMs += 249
+            cell.refusalOf(sampleRequest("sri", "new")).shouldNotBeNull()
+            cell.nowMs += 1
+            cell.refusalOf(sampleRequest("sri", "new")) shouldBe null
+        }
+
+        test("a new leader grants the burst a second time") {
+            val cell = cell(sri.copy(requestBurst = 50, requestRatePerSec = 10))
+            cell.submitMany("sri", 50)
+            cell.changeLeader()
+            val admitted = (0 until 50).count {
+                cell.refusalOf(sampleRequest("sri", "again-$it")) == null
+            }
+            admitted shouldBe 10
+        }
+
+        context("a full queue") {
+            test("takes more than the contract allows") {
+                val cell = cell(sri.copy(maxQueuedRequests = 3))
+                cell.submitMany("sri", 3)
+                val refusal = cell.refusalOf(sampleRequest("sri", "new"))
+                val limit = refusal.shouldBeInstanceOf<Refusal.LimitReached>()
+                limit.limit shouldBe "max_queued_requests"
+                limit.retryAfterMs.shouldNotBeNull()
+            }
+
+            test("sheds work that can still be done before hopeless work") {
+                val cell = cell(sri.copy(maxQueuedRequests = 3))
+                cell.submitMany("sri", 3, deadlineMs = 2_000)
+                cell.nowMs = 2_002
+                cell.refusalOf(sampleRequest("sri", "new")) shouldBe null
+                cell.state.ended.keys.map { it.value } shouldBe listOf("sri/sri-0")
+                cell.state.ended.values.first().outcome.shouldBeInstanceOf<Outcome.NotRun>()
+            }
+
+            test("lets one customer keep the others out") {
+                val cell = cell(sri, sampleContract("teku"), maxQueued = 10)
+                cell.submitMany("sri", 10)
+                cell.refusalOf(sampleRequest("teku", "new")) shouldBe null
+                cell.state.ended.keys.map { it.value } shouldBe listOf("sri/sri-9")
+                cell.refusalOf(sampleRequest("sri", "new"))
+                    .shouldBeInstanceOf<Refusal.CellFull>()
+            }
+
+            test("makes work wait whose contract says that it does not wait") {
+                val cell = cell(sri.copy(whenFull = WhenFull.REFUSE))
+                cell.refusalOf(sampleRequest("sri", "a")).shouldBeInstanceOf<Refusal.CellFull>()
+                cell.append(Event.EndpointJoined(sampleEndpoint("p1", slots = 1)))
+                cell.refusalOf(sampleRequest("sri", "b")) shouldBe null
+                cell.refusalOf(sampleRequest("sri", "c")).shouldBeInstanceOf<Refusal.CellFull>()
+            }
+        }
+
+        test("an id reused for other work gets the first work's answer") {
+            val first = sampleRequest("sri", "a")
+            isSameRequest(first, first.copy(deadlineMs = 99, urgency = Urgency.URGENT)) shouldBe
+                true
+            isSameRequest(first, first.copy(body = blob("other"))) shouldBe false
+            isSameRequest(first, first.copy(idempotent = false)) shouldBe false
+            isSameRequest(first, first.copy(kind = "plate")) shouldBe false
+        }
+    })
