Add contract tests of the transport and close three races

Cause: a call that timed out unsent could still be taken by a session that opened at the same moment, so work reported as not run could run. A session that opened between the leader's reply and the registration of its caller did not know of the caller. A cancelled socket could end the loop that keeps the session.

Change: sending and ending a call share a lock; callers compare the number of sessions before and after; failures of a socket are told apart from the cancellation of the coroutine. The cluster key is hashed before HMAC, because HMAC pads keys with zero bytes and took a key with a zero byte appended for the same key.

--- a/src/main/kotlin/dev/jackdawdale/entry/EntryHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/EntryHost.kt
@@ -118,7 +118,12 @@
     private fun sessionOpened(term: Long) {
         note("session", "open under term $term")
         dispatcher.resendFinished()
-        waiters.accepted().forEach { waiter -> scope.launch { askAgain(waiter) } }
+        waiters.accepted().forEach(::askAgainInBackground)
+    }
+
+    /** Makes the present leader tell the end of the waiter's request. */
+    internal fun askAgainInBackground(waiter: Waiter) {
+        scope.launch { askAgain(waiter) }
     }
 
     private fun receive(message: ControlMessage) {
--- a/src/main/kotlin/dev/jackdawdale/entry/RequestRoutes.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/RequestRoutes.kt
@@ -11,9 +11,11 @@
 import dev.jackdawdale.wire.WorkStage
 import dev.jackdawdale.wire.WorkStatus
 import io.netty.handler.codec.http.HttpHeaderNames
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 
 private const val DEFAULT_TYPE = "application/octet-stream"
+private const val ASK_AGAIN_MS = 200L
 private const val RESPOND_ASYNC = "respond-async"
 
 /** The call that runs a request. */
@@ -72,10 +74,13 @@
     val waiter = waiters.add(command)
         ?: throw unavailable("too_many_waiting", "too many bytes wait on this host")
     try {
+        val sessionCount = client.sessionCount
         val reply = client.call(command, settings.commandTimeoutMs)
         val status = reply.expect<Reply.Work>(Ran.UNKNOWN).status
         waiter.accepted = true
         waiter.endBy(status)
+        // A session that opened before this waiter counted as accepted does not know of it.
+        if (client.sessionCount != sessionCount) askAgainInBackground(waiter)
         val waitMs = command.deadlineInMs + settings.answerGraceMs
         val ended = withTimeoutOrNull(waitMs) { waiter.ended.await() } ?: throw HttpError(
             504,
@@ -91,11 +96,16 @@
 
 /**
  * Submits the request of [waiter] to a new session, so that its leader tells the end. The request
- * is accepted, so a refusal says nothing about it, and another session will ask again.
+ * is accepted, so a refusal says nothing about it: the leader is asked until it knows.
  */
 internal suspend fun EntryHost.askAgain(waiter: Waiter) {
-    val reply = client.call(waiter.command, settings.commandTimeoutMs)
-    if (reply is Reply.Work) waiter.endBy(reply.status)
+    while (waiters.contains(waiter) && !waiter.ended.isCompleted) {
+        val sessionCount = client.sessionCount
+        val reply = client.call(waiter.command, settings.commandTimeoutMs)
+        if (reply is Reply.Work) waiter.endBy(reply.status)
+        if (reply is Reply.Work && client.sessionCount == sessionCount) return
+        delay(ASK_AGAIN_MS)
+    }
 }
 
 private fun Waiter.endBy(status: WorkStatus) {
--- a/src/main/kotlin/dev/jackdawdale/entry/Waiters.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/Waiters.kt
@@ -52,6 +52,8 @@
         byWork[message.workId]?.forEach { it.ended.complete(ended) }
     }
 
+    fun contains(waiter: Waiter): Boolean = byWork[waiter.command.workId]?.contains(waiter) ?: false
+
     /** The accepted waiters; a new session must hear of them, or it would not tell their end. */
     fun accepted(): List<Waiter> = byWork.values.flatten().filter { it.accepted }
 }
--- a/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
@@ -2,23 +2,21 @@
 
 import dev.jackdawdale.model.HeldAttempt
 import dev.jackdawdale.model.HostId
-import dev.jackdawdale.model.Refusal
 import io.ktor.network.selector.SelectorManager
 import java.util.concurrent.atomic.AtomicLong
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.wire")
 private const val LEADERSHIP_LOST_RETRY_MS = 100L
-private const val NO_LEADER_RETRY_AFTER_MS = 1_000L
 
 /** Default time that a call waits for its reply, in milliseconds. */
 internal const val CALL_TIMEOUT_MS = 10_000L
@@ -40,14 +38,16 @@
 
 /** The entry side of the session with the leader: finds it, keeps the session, makes calls. */
 internal class ControlClient(
-    private val settings: PeerSettings,
+    peerSettings: PeerSettings,
     private val callbacks: ControlClientCallbacks
 ) : AutoCloseable {
+    private val settings = peerSettings.copy(silenceTimeoutMs = peerSettings.sessionSilenceMs)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val calls = PendingCalls()
     private val search = LeaderSearch(settings.controlHosts.keys.toList())
     private val seenTerm = AtomicLong()
+    private val sessionsOpened = AtomicLong()
 
     @Volatile
     private var session: EntrySession? = null
@@ -58,6 +58,9 @@
     /** The greatest term that any leader told; dispatches of lower terms are refused. */
     val highestTerm: Long get() = seenTerm.get()
 
+    /** Counts the sessions that a leader has accepted. */
+    val sessionCount: Long get() = sessionsOpened.get()
+
     /** Whether a leader has accepted the present session. */
     val isOpen: Boolean get() = session?.accepted ?: false
 
@@ -98,7 +101,7 @@
         session?.link?.close("the host is stopping")
         scope.cancel()
         selector.close()
-        calls.inOrder().forEach(::endUnanswered)
+        calls.inOrder().forEach { it.endUnanswered() }
     }
 
     private suspend fun await(call: PendingCall, timeoutMs: Long): Reply {
@@ -107,7 +110,7 @@
             // resend of a session that opens in between carries it.
             session?.takeIf { it.accepted }?.let { transmit(call, it) }
             val reply = withTimeoutOrNull(timeoutMs) { call.reply.await() }
-            if (reply == null) endUnanswered(call)
+            if (reply == null) call.endUnanswered()
             return call.reply.await()
         } finally {
             calls.remove(call)
@@ -115,19 +118,8 @@
         }
     }
 
-    private fun endUnanswered(call: PendingCall) = call.complete(
-        if (call.sent) {
-            Reply.LeadershipLost
-        } else {
-            Reply.Refused(Refusal.Unavailable("no control leader", NO_LEADER_RETRY_AFTER_MS))
-        }
-    )
-
     private fun transmit(call: PendingCall, to: EntrySession) {
-        if (!to.firstSend(call.callId)) return
-        if (call.sent && !call.resend) return
-        call.sent = true
-        to.link.send(call.message())
+        if (to.firstSend(call.callId) && call.beginSend()) to.link.send(call.message())
     }
 
     private suspend fun keepSession() {
@@ -157,11 +149,8 @@
         } catch (e: HandshakeFailed) {
             log.warn("control host {}: {}", hostId, e.message)
             return SessionEnd.Lost(wasOpen = false)
-        } catch (_: TimeoutCancellationException) {
-            return SessionEnd.Lost(wasOpen = false)
-        } catch (e: CancellationException) {
-            throw e
         } catch (e: Exception) {
+            currentCoroutineContext().ensureActive()
             log.debug("cannot connect to control host {}: {}", hostId, e.message)
             return SessionEnd.Lost(wasOpen = false)
         }
@@ -205,7 +194,7 @@
 
     private fun sessionLost(lost: EntrySession) {
         if (lost.accepted) callbacks.onLost()
-        calls.inOrder().filter { it.sent && !it.resend }.forEach(::endUnanswered)
+        calls.inOrder().filter { it.sent && !it.resend }.forEach { it.endUnanswered() }
     }
 
     private fun receive(from: EntrySession, message: ControlMessage) {
@@ -214,6 +203,10 @@
             is ControlMessage.SessionAccepted -> opened(from, message.term)
             is ControlMessage.NotLeader -> redirected(from, message.leader)
             is ControlMessage.ReplyTo -> replied(message)
+            is ControlMessage.Configuration -> {
+                sawTerm(message.term)
+                callbacks.onMessage(message)
+            }
             else -> callbacks.onMessage(message)
         }
     }
@@ -221,6 +214,7 @@
     private fun opened(current: EntrySession, term: Long) {
         if (term < highestTerm) return current.link.close("leader of the old term $term")
         sawTerm(term)
+        sessionsOpened.incrementAndGet()
         current.accepted = true
         callbacks.onOpened(term)
         calls.inOrder().forEach { transmit(it, current) }
--- a/src/main/kotlin/dev/jackdawdale/wire/FrameLink.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/FrameLink.kt
@@ -1,17 +1,19 @@
 package dev.jackdawdale.wire
 
+import dev.jackdawdale.model.CorruptPayload
 import dev.jackdawdale.model.cellCbor
+import dev.jackdawdale.model.decoding
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.wire")
@@ -92,10 +94,8 @@
     }
 
     private fun decode(frame: ByteArray): I = try {
-        cellCbor.decodeFromByteArray(types.incoming, frame)
-    } catch (e: SerializationException) {
-        throw BadFrame("undecodable message of ${frame.size} bytes", e)
-    } catch (e: IllegalArgumentException) {
+        decoding("message") { cellCbor.decodeFromByteArray(types.incoming, frame) }
+    } catch (e: CorruptPayload) {
         throw BadFrame("undecodable message of ${frame.size} bytes", e)
     }
 
@@ -138,14 +138,13 @@
     private suspend fun closingOnFailure(block: suspend () -> Unit) {
         try {
             block()
-        } catch (e: CancellationException) {
-            close("stopped")
-            throw e
         } catch (e: BadFrame) {
             log.warn("bad frame from {}: {}", peer.hostId, e.message)
             close(e.message ?: "bad frame")
         } catch (e: Exception) {
             close("broken: ${e.message ?: e::class.simpleName}")
+            // A cancellation of the socket must not pass for a cancellation of this coroutine.
+            currentCoroutineContext().ensureActive()
         }
     }
 }
--- a/src/main/kotlin/dev/jackdawdale/wire/Handshake.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/Handshake.kt
@@ -1,15 +1,16 @@
 package dev.jackdawdale.wire
 
 import dev.jackdawdale.model.Blob
+import dev.jackdawdale.model.CorruptPayload
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.model.cellCbor
+import dev.jackdawdale.model.decoding
 import java.security.MessageDigest
 import java.security.SecureRandom
 import javax.crypto.Mac
 import javax.crypto.spec.SecretKeySpec
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 
@@ -129,7 +130,9 @@
 
 private fun proof(settings: PeerSettings, label: String, client: Hello, server: Hello): Blob {
     val mac = Mac.getInstance(MAC_ALGORITHM)
-    mac.init(SecretKeySpec(settings.clusterKey, MAC_ALGORITHM))
+    // HMAC pads short keys with zero bytes; the hash keeps keys that differ only by them apart.
+    val key = MessageDigest.getInstance("SHA-256").digest(settings.clusterKey)
+    mac.init(SecretKeySpec(key, MAC_ALGORITHM))
     mac.update(label.encodeToByteArray())
     mac.update(cellCbor.encodeToByteArray(client))
     mac.update(cellCbor.encodeToByteArray(server))
@@ -155,14 +158,11 @@
 
 private suspend fun RawLink.receiveHandshake(): HandshakeMessage {
     val message = try {
-        cellCbor.decodeFromByteArray<HandshakeMessage>(
-            input.readFrame(MAX_HANDSHAKE_FRAME_BYTES)
-        )
+        val frame = input.readFrame(MAX_HANDSHAKE_FRAME_BYTES)
+        decoding("handshake") { cellCbor.decodeFromByteArray<HandshakeMessage>(frame) }
     } catch (_: BadFrame) {
         refuse(HandshakeRefusal.MALFORMED)
-    } catch (_: SerializationException) {
-        refuse(HandshakeRefusal.MALFORMED)
-    } catch (_: IllegalArgumentException) {
+    } catch (_: CorruptPayload) {
         refuse(HandshakeRefusal.MALFORMED)
     }
     if (message is HandshakeMessage.Refused) throw HandshakeFailed(message.reason, byPeer = true)
--- a/src/main/kotlin/dev/jackdawdale/wire/PeerDialer.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/PeerDialer.kt
@@ -2,9 +2,9 @@
 
 import dev.jackdawdale.model.HostId
 import io.ktor.network.selector.SelectorManager
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.KSerializer
 import org.apache.logging.log4j.LogManager
@@ -77,11 +77,8 @@
             return true
         } catch (e: HandshakeFailed) {
             log.warn("control host {}: {}", hostId, e.message)
-        } catch (_: TimeoutCancellationException) {
-            log.debug("control host {} does not answer in time", hostId)
-        } catch (e: CancellationException) {
-            throw e
         } catch (e: Exception) {
+            currentCoroutineContext().ensureActive()
             log.debug("cannot connect to control host {}: {}", hostId, e.message)
         } finally {
             link = null
--- a/src/main/kotlin/dev/jackdawdale/wire/PeerNetwork.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/PeerNetwork.kt
@@ -8,12 +8,13 @@
 import io.ktor.network.sockets.aSocket
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -95,9 +96,8 @@
             try {
                 val socket = listening.accept()
                 scope.launch { serve(socket) }
-            } catch (e: CancellationException) {
-                throw e
             } catch (e: Exception) {
+                currentCoroutineContext().ensureActive()
                 if (listening.socketContext.isCompleted) return
                 log.warn("cannot accept a connection: {}", e.message)
                 delay(ACCEPT_RETRY_MS)
@@ -115,9 +115,8 @@
             }
         } catch (e: HandshakeFailed) {
             log.warn("{} from {}", e.message, socket.remoteAddress)
-        } catch (e: CancellationException) {
-            log.debug("handshake not finished in time or stopped: {}", e.message)
         } catch (e: Exception) {
+            currentCoroutineContext().ensureActive()
             log.debug("connection from {} ended: {}", socket.remoteAddress, e.message)
         } finally {
             raw.close()
--- a/src/main/kotlin/dev/jackdawdale/wire/PeerSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/PeerSettings.kt
@@ -18,6 +18,8 @@
  * @property maxQueuedBytes estimated size of these messages
  * @property heartbeatMs interval of empty frames that show a live connection
  * @property silenceTimeoutMs a connection without any frame for this time is closed
+ * @property sessionSilenceMs the same for an entry host's session; it bounds the age of a dispatch
+ * that the network held back
  * @property maxUnprovedConnections accepted connections whose handshake may be under way at once
  */
 internal data class PeerSettings(
@@ -36,6 +38,7 @@
     val handshakeTimeoutMs: Long = 2_000,
     val heartbeatMs: Long = SESSION_HEARTBEAT_MS,
     val silenceTimeoutMs: Long = SESSION_TIMEOUT_MS,
+    val sessionSilenceMs: Long = 2_000,
     val reconnectMinMs: Long = 50,
     val reconnectMaxMs: Long = 1_000,
     val maxUnprovedConnections: Int = 256
--- a/src/main/kotlin/dev/jackdawdale/wire/PendingCalls.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/PendingCalls.kt
@@ -1,10 +1,13 @@
 package dev.jackdawdale.wire
 
+import dev.jackdawdale.model.Refusal
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Deferred
 
+private const val NO_LEADER_RETRY_AFTER_MS = 1_000L
+
 /** A command or query that waits for its reply. */
 internal class PendingCall(
     val callId: Long,
@@ -19,11 +22,30 @@
     /** True once a session took the call: from then on it may have had an effect. */
     @Volatile
     var sent = false
+        private set
 
     fun complete(reply: Reply) {
         completion.complete(reply)
     }
 
+    /** Whether a session may take the call now; false once it has its reply. */
+    @Synchronized
+    fun beginSend(): Boolean {
+        if (completion.isCompleted || (sent && !resend)) return false
+        sent = true
+        return true
+    }
+
+    /**
+     * Ends the call without a reply. Under the same lock as [beginSend]: a call that was reported
+     * as never sent must not be sent afterwards.
+     */
+    @Synchronized
+    fun endUnanswered() {
+        val unsent = Refusal.Unavailable("no control leader", NO_LEADER_RETRY_AFTER_MS)
+        completion.complete(if (sent) Reply.LeadershipLost else Reply.Refused(unsent))
+    }
+
     /** The message for a session; the relative deadline shrinks by the time spent so far. */
     fun message(): EntryMessage {
         if (query != null) return EntryMessage.QueryCall(callId, query)
--- a/src/test/kotlin/dev/jackdawdale/entry/EntryFixture.kt
+++ b/src/test/kotlin/dev/jackdawdale/entry/EntryFixture.kt
@@ -4,6 +4,7 @@
 import dev.jackdawdale.bench.loopbackPeer
 import dev.jackdawdale.model.TokenHash
 import dev.jackdawdale.model.sampleContract
+import dev.jackdawdale.testing.patience
 import io.kotest.assertions.nondeterministic.eventually
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -15,9 +16,7 @@
 import java.net.http.HttpResponse
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
-import kotlin.time.Duration.Companion.seconds
 
-internal val patience = 20.seconds
 internal const val ACME_TOKEN = "acme:secret"
 internal const val OPERATOR_TOKEN = "operator:secret"
 internal const val MEMBER_TOKEN = "member:secret"
@@ -124,7 +123,6 @@
         Socket("127.0.0.1", server.port).use { socket ->
             socket.soTimeout = maxMs
             socket.getOutputStream().write(text)
-            runCatching { socket.shutdownOutput() }
             val received = StringBuilder()
             runCatching {
                 while (true) {
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/wire/ControlClientTest.kt
@@ -0,0 +1,115 @@
+package dev.jackdawdale.wire
+
+import dev.jackdawdale.bench.LoopbackLeader
+import dev.jackdawdale.bench.loopbackPeer
+import dev.jackdawdale.model.CustomerId
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.Refusal
+import dev.jackdawdale.model.WorkId
+import dev.jackdawdale.testing.patience
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+
+private val cancel = Command.Cancel(CustomerId("acme"), WorkId("acme/r1"))
+
+private fun client(vararg leaders: LoopbackLeader): ControlClient {
+    val hosts = leaders.withIndex().associate { (index, leader) ->
+        HostId("c${index + 1}") to PeerAddress("127.0.0.1", leader.port)
+    }
+    val settings = loopbackPeer("h1").copy(controlHosts = hosts)
+    return controlClient(settings, ControlClientCallbacks({ emptyList() }, { }, { }, { }))
+        .apply { start() }
+}
+
+private fun leader(name: String = "c1", term: Long = 1): LoopbackLeader =
+    LoopbackLeader(loopbackPeer(name), term).apply { start() }
+
+class ControlClientTest :
+    FunSpec({
+        test("the session goes to the host that a follower names") {
+            val follower = leader("c1")
+            follower.onOpen = { ControlMessage.NotLeader(HostId("c3")) }
+            val wrong = leader("c2")
+            wrong.onOpen = { ControlMessage.NotLeader(null) }
+            val leading = leader("c3")
+            client(follower, wrong, leading).use { client ->
+                eventually(patience) { client.isOpen shouldBe true }
+                follower.opened.size shouldBe 1
+                wrong.opened.size shouldBe 0
+                client.call(cancel) shouldBe Reply.Done
+            }
+            listOf(follower, wrong, leading).forEach { it.close() }
+        }
+
+        test("a leader of a lower term than seen gets no session") {
+            val newer = leader("c1", term = 5)
+            val older = leader("c2", term = 4)
+            client(newer, older).use { client ->
+                eventually(patience) { client.isOpen shouldBe true }
+                newer.close()
+                eventually(patience) { (older.opened.size > 1) shouldBe true }
+                client.isOpen shouldBe false
+                older.opened.first().highestTerm shouldBe 5
+                older.term = 6
+                eventually(patience) { client.highestTerm shouldBe 6 }
+            }
+            older.close()
+        }
+
+        test("a call without a reply is sent again on the next session and gets one reply") {
+            val first = leader("c1", term = 1)
+            first.onCommand = { _, _ -> null }
+            val second = leader("c2", term = 2)
+            second.onOpen = { ControlMessage.NotLeader(null) }
+            client(first, second).use { client ->
+                eventually(patience) { client.isOpen shouldBe true }
+                coroutineScope {
+                    val reply = async { client.call(cancel) }
+                    val once = async { client.call(cancel, resend = false) }
+                    eventually(patience) { first.commands.size shouldBe 2 }
+                    second.onOpen = { ControlMessage.SessionAccepted(2) }
+                    first.close()
+                    once.await() shouldBe Reply.LeadershipLost
+                    reply.await() shouldBe Reply.Done
+                }
+                second.commands.toList() shouldBe listOf(cancel)
+            }
+            second.close()
+        }
+
+        test("a reply of a lost leadership means ask again") {
+            val leader = leader()
+            val asked = AtomicInteger()
+            leader.onCommand =
+                { _, _ -> if (asked.getAndIncrement() == 0) Reply.LeadershipLost else Reply.Done }
+            client(leader).use { client ->
+                client.call(cancel) shouldBe Reply.Done
+                asked.get() shouldBe 2
+                leader.onCommand = { _, _ -> Reply.LeadershipLost }
+                client.call(cancel, resend = false) shouldBe Reply.LeadershipLost
+                leader.onCommand = { _, _ -> null }
+                client.call(cancel, timeoutMs = 50) shouldBe Reply.LeadershipLost
+            }
+            leader.close()
+        }
+
+        test("a call that no session took is refused: it was not run and never will be") {
+            val leader = leader()
+            leader.onOpen = { ControlMessage.NotLeader(null) }
+            client(leader).use { client ->
+                val reply = client.call(cancel, timeoutMs = 100)
+                reply.shouldBeInstanceOf<Reply.Refused>()
+                    .refusal.shouldBeInstanceOf<Refusal.Unavailable>()
+                leader.onOpen = { ControlMessage.SessionAccepted(1) }
+                eventually(patience) { client.isOpen shouldBe true }
+                client.query(Query.CellStatus, timeoutMs = 50) shouldBe Reply.LeadershipLost
+                leader.commands.size shouldBe 0
+            }
+            leader.close()
+        }
+    })
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/wire/PeerNetworkTest.kt
@@ -0,0 +1,164 @@
+package dev.jackdawdale.wire
+
+import dev.jackdawdale.bench.loopbackPeer
+import dev.jackdawdale.model.FailureDomain
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.testing.patience
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+import io.ktor.network.selector.SelectorManager
+import java.io.DataOutputStream
+import java.net.ServerSocket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.launch
+import kotlinx.serialization.builtins.serializer
+
+private val sessionTypes = LinkTypes(
+    ControlMessage.serializer(),
+    EntryMessage.serializer(),
+    EntryMessage::weightBytes
+)
+
+private fun openOf(incarnation: Long) = EntryMessage.SessionOpen(
+    HostId("h1"),
+    incarnation,
+    FailureDomain("local"),
+    0,
+    emptyList(),
+    false
+)
+
+private class Recorder(settings: PeerSettings = loopbackPeer("c1")) : AutoCloseable {
+    val events = CopyOnWriteArrayList<String>()
+    val sessions = CopyOnWriteArrayList<ControlSession>()
+    val network = peerNetwork(
+        settings,
+        String.serializer(),
+        PeerCallbacks(
+            { _, message -> events += message },
+            { session, message ->
+                if (message is EntryMessage.SessionOpen) sessions += session
+                events += "${session.incarnation} ${message::class.simpleName}"
+            },
+            { events += "${it.incarnation} closed" }
+        ),
+        weightBytes = { it.length.toLong() }
+    ).apply { start() }
+
+    suspend fun dialAsEntry(selector: SelectorManager, incarnation: Long) = dial(
+        selector,
+        loopbackPeer("h1", incarnation = incarnation),
+        Role.ENTRY,
+        HostId("c1"),
+        PeerAddress("127.0.0.1", network.port),
+        sessionTypes
+    )
+
+    override fun close() = network.close()
+}
+
+class PeerNetworkTest :
+    FunSpec({
+        val selector = SelectorManager(Dispatchers.IO)
+        afterSpec { selector.close() }
+
+        test("messages arrive in order, also the largest, and a restarted peer is found again") {
+            val settings = loopbackPeer("c1")
+            val first = Recorder(settings)
+            val port = first.network.port
+            val sender = Recorder(loopbackPeer("c2", port))
+            sender.use {
+                eventually(patience) { sender.network.isConnected(HostId("c1")) shouldBe true }
+                val large = "x".repeat(settings.maxFrameBytes - 16)
+                val texts = List(1_000) { "m$it" } + large
+                texts.forEach { sender.network.send(HostId("c1"), it) shouldBe true }
+                eventually(patience) { first.events.toList() shouldBe texts }
+                first.close()
+                eventually(patience) { sender.network.isConnected(HostId("c1")) shouldBe false }
+                sender.network.send(HostId("c1"), "lost") shouldBe false
+                Recorder(settings.copy(port = port)).use { second ->
+                    eventually(patience) {
+                        sender.network.send(HostId("c1"), "again") shouldBe true
+                        second.events.contains("again") shouldBe true
+                    }
+                }
+            }
+        }
+
+        test("a message over the frame bound is dropped and the connection goes on") {
+            Recorder().use { listener ->
+                Recorder(loopbackPeer("c2", listener.network.port)).use { sender ->
+                    eventually(patience) {
+                        sender.network.isConnected(HostId("c1")) shouldBe true
+                    }
+                    sender.network.send(HostId("c1"), "x".repeat(5 * 1024 * 1024))
+                    sender.network.send(HostId("c1"), "next")
+                    eventually(patience) { listener.events.toList() shouldBe listOf("next") }
+                }
+            }
+        }
+
+        test("a newer session of a host ends the older one before its first message") {
+            Recorder().use { listener ->
+                val older = listener.dialAsEntry(selector, incarnation = 1)
+                launch { older.run { } }
+                older.send(openOf(1))
+                eventually(patience) { listener.sessions.size shouldBe 1 }
+                val newer = listener.dialAsEntry(selector, incarnation = 2)
+                val run = launch { newer.run { } }
+                newer.send(openOf(2))
+                eventually(patience) { listener.sessions.size shouldBe 2 }
+                listener.events.toList() shouldBe
+                    listOf("1 SessionOpen", "1 closed", "2 SessionOpen")
+                val late = listener.dialAsEntry(selector, incarnation = 1)
+                late.send(openOf(1))
+                late.run { }
+                listener.sessions.size shouldBe 2
+                newer.close("test ends")
+                run.join()
+                eventually(patience) { listener.events.last() shouldBe "2 closed" }
+            }
+        }
+
+        context("a session with a peer that went silent or stopped reading is closed") {
+            withData(
+                mapOf(
+                    "silence" to { _: ControlSession -> },
+                    "nobody reads and the queue overflows" to { session: ControlSession ->
+                        val big = ControlMessage.NotLeader(HostId("h".repeat(10_000)))
+                        while (session.send(big)) Thread.onSpinWait()
+                    }
+                )
+            ) { act ->
+                val settings = loopbackPeer("c1").copy(heartbeatMs = 50, silenceTimeoutMs = 400)
+                Recorder(settings).use { listener ->
+                    val link = listener.dialAsEntry(selector, incarnation = 1)
+                    val run = launch { link.run { Thread.sleep(60_000) } }
+                    link.send(openOf(1))
+                    eventually(patience) { listener.sessions.size shouldBe 1 }
+                    act(listener.sessions.single())
+                    eventually(patience) { listener.events.last() shouldBe "1 closed" }
+                    listener.sessions.single().send(ControlMessage.NotLeader(null)) shouldBe false
+                    run.cancel()
+                    link.close("test ends")
+                }
+            }
+        }
+
+        test("a control host that accepts and then says nothing does not hold the caller up") {
+            ServerSocket(0).use { deaf ->
+                val settings = loopbackPeer("h1", deaf.localPort).copy(handshakeTimeoutMs = 200)
+                val callbacks = ControlClientCallbacks({ emptyList() }, { }, { }, { })
+                controlClient(settings, callbacks).use { client ->
+                    client.start()
+                    repeat(2) {
+                        deaf.accept().let { DataOutputStream(it.getOutputStream()).writeInt(9) }
+                    }
+                    client.isOpen shouldBe false
+                }
+            }
+        }
+    })
