--- a/src/main/kotlin/dev/jackdawdale/cli/SampleCommand.kt
+++ b/src/main/kotlin/dev/jackdawdale/cli/SampleCommand.kt
@@ -48,6 +48,9 @@
     @Option(names = ["--port"], description = ["Port; 0 chooses a free one."])
     var port: Int = 0
 
+    @Option(names = ["--announce-port"], description = ["Port to announce, if not --port."])
+    var announcePort: Int? = null
+
     @Option(names = ["--slots"], description = ["Requests at once. Default: \${DEFAULT-VALUE}"])
     var slots: Int = 8
 
@@ -82,7 +85,8 @@
         val endpoint = SampleEndpoint(
             EndpointOptions(
                 id, service, entry, address, port, slots, connections, failureDomain,
-                runMs, runSpreadMs, failEvery, cutEvery, seed, token, journal
+                runMs, runSpreadMs, failEvery, cutEvery, seed, token, journal,
+                announcePort
             )
         )
         println("endpoint $id listens on $address:${endpoint.start()}")
--- a/src/main/kotlin/dev/jackdawdale/standin/EndpointOptions.kt
+++ b/src/main/kotlin/dev/jackdawdale/standin/EndpointOptions.kt
@@ -5,6 +5,7 @@
 /**
  * How a sample endpoint behaves.
  *
+ * @property announcePort the port that it announces when it is reached through a proxy
  * @property runMs how long a request runs unless its body says `run_ms=`
  * @property runSpreadMs up to this much is added, drawn with [seed]
  * @property failEvery every so many requests answers 500; 0 for never
@@ -25,5 +26,6 @@
     val cutEvery: Int = 0,
     val seed: Long = 1,
     val token: String? = null,
-    val journal: Path? = null
+    val journal: Path? = null,
+    val announcePort: Int? = null
 )
--- a/src/main/kotlin/dev/jackdawdale/standin/SampleEndpoint.kt
+++ b/src/main/kotlin/dev/jackdawdale/standin/SampleEndpoint.kt
@@ -75,7 +75,7 @@
                 incarnation,
                 options.service,
                 options.address,
-                port,
+                options.announcePort ?: port,
                 options.slots,
                 options.connections,
                 options.failureDomain,
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/testing/JournalChecker.kt
@@ -0,0 +1,197 @@
+package dev.jackdawdale.testing
+
+import dev.jackdawdale.model.Resources
+import dev.jackdawdale.model.fitsInto
+import dev.jackdawdale.model.minus
+import dev.jackdawdale.model.plus
+import dev.jackdawdale.standin.JournalEvent
+import dev.jackdawdale.standin.JournalLine
+import dev.jackdawdale.standin.Mark
+import dev.jackdawdale.standin.snakeJson
+import kotlinx.serialization.SerializationException
+
+/** Time after a leave within which work decided before it may still arrive (G6). */
+internal const val LEAVE_BOUND_MS = 2_000L
+
+/** Names every guarantee that [evidence] contradicts; an empty list is a pass. */
+internal fun violations(evidence: Evidence): List<Violation> = with(evidence) {
+    val lines = journals.sortedBy { it.atMs }
+    capacityViolations(lines) + placeViolations(lines) + tokenViolations(lines) +
+        leaveViolations(lines) + answerViolations(answers) + runClaimViolations(this) +
+        repeatViolations(this) + recordViolations(this)
+}
+
+private fun capacityViolations(lines: List<JournalLine>): List<Violation> =
+    lines.groupBy { it.source }.values.flatMap(::capacityViolationsOfOne)
+
+private fun capacityViolationsOfOne(lines: List<JournalLine>): List<Violation> {
+    val found = mutableListOf<Violation>()
+    val running = mutableMapOf<String, JournalLine>()
+    var up: JournalLine? = null
+    for (line in lines) {
+        when (line.event) {
+            JournalEvent.UP -> {
+                up = line
+                running.clear()
+            }
+            JournalEvent.DOWN -> running.clear()
+            JournalEvent.START -> running[runKey(line)] = line
+            JournalEvent.END, JournalEvent.STOP -> running.remove(runKey(line))
+            else -> Unit
+        }
+        if (line.event == JournalEvent.START) overCapacity(up, running.values)?.let { found += it }
+    }
+    return found
+}
+
+private fun runKey(line: JournalLine) = "${line.workId ?: line.taskId}/${line.token}"
+
+private fun overCapacity(up: JournalLine?, running: Collection<JournalLine>): Violation? {
+    val capacity = up ?: return null
+    val slots = capacity.slots
+    val problem = if (slots != null) {
+        "${running.size} requests in $slots slots".takeIf { running.size > slots }
+    } else {
+        val used = running.map(::resources).fold(Resources(), Resources::plus)
+        "$used of ${resources(capacity)}".takeIf { !used.fitsInto(resources(capacity)) }
+    }
+    return problem?.let { Violation(Guarantee.OVER_CAPACITY, capacity.source, it) }
+}
+
+private fun resources(line: JournalLine) =
+    Resources(line.cpuMillis ?: 0, line.memoryMib ?: 0, line.accelerators ?: 0)
+
+private data class Span(val source: String, val fromMs: Long, val toMs: Long)
+
+private fun placeViolations(lines: List<JournalLine>): List<Violation> =
+    taskSpans(lines).flatMap { (taskId, spans) ->
+        spans.sortedBy { it.fromMs }.zipWithNext()
+            .filter { (first, second) -> second.fromMs < first.toMs }
+            .map { (first, second) ->
+                val detail = "on ${first.source} until ${first.toMs}, " +
+                    "on ${second.source} from ${second.fromMs}"
+                Violation(Guarantee.TASK_IN_TWO_PLACES, taskId, detail)
+            }
+    }
+
+private fun taskSpans(lines: List<JournalLine>): Map<String, List<Span>> {
+    val spans = mutableMapOf<String, MutableList<Span>>()
+    for (sourceLines in lines.groupBy { it.source }.values) {
+        val open = mutableMapOf<String, JournalLine>()
+
+        fun close(start: JournalLine, atMs: Long) {
+            val taskId = start.taskId ?: return
+            spans.getOrPut(taskId) { mutableListOf() } += Span(start.source, start.atMs, atMs)
+        }
+        for (line in sourceLines) {
+            when (line.event) {
+                JournalEvent.START -> if (line.taskId != null) open[runKey(line)] = line
+                JournalEvent.END, JournalEvent.STOP ->
+                    open.remove(runKey(line))?.let { close(it, line.atMs) }
+                JournalEvent.UP, JournalEvent.DOWN -> {
+                    open.values.forEach { close(it, line.atMs) }
+                    open.clear()
+                }
+                else -> Unit
+            }
+        }
+        open.values.forEach { close(it, Long.MAX_VALUE) }
+    }
+    return spans
+}
+
+private fun tokenViolations(lines: List<JournalLine>): List<Violation> =
+    lines.filter { it.event == JournalEvent.START && it.taskId != null }
+        .groupBy { it.taskId.orEmpty() }.flatMap { (taskId, starts) ->
+            starts.zipWithNext().filter { (first, second) ->
+                (second.token ?: 0) <= (first.token ?: 0)
+            }.map { (first, second) ->
+                val detail = "token ${second.token} started after ${first.token}"
+                Violation(Guarantee.OLD_TOKEN_RAN, taskId, detail)
+            }
+        }
+
+private fun leaveViolations(lines: List<JournalLine>): List<Violation> =
+    lines.groupBy { it.source to it.incarnation }.values.flatMap { own ->
+        val leftAtMs = own.firstOrNull { it.event == JournalEvent.LEAVING }?.atMs
+            ?: return@flatMap emptyList()
+        own.filter { it.event == JournalEvent.START && it.atMs > leftAtMs + LEAVE_BOUND_MS }
+            .map {
+                val detail = "${runKey(it)} started ${it.atMs - leftAtMs} ms after the leave"
+                Violation(Guarantee.WORK_AFTER_LEAVE, it.source, detail)
+            }
+    }
+
+private fun answerViolations(answers: List<CallerAnswer>): List<Violation> {
+    val succeeded = answers.filter { it.outcome == "succeeded" && it.body != null }
+    val wrong = succeeded.mapNotNull { answer -> wrongMark(answer) }
+    val unequal = succeeded.groupBy { it.workId }
+        .filterValues { tries -> tries.map { it.body }.distinct().size > 1 }
+        .map { (workId, tries) ->
+            val detail = "${tries.size} answers to resends differ"
+            Violation(Guarantee.WRONG_OR_PARTIAL_ANSWER, workId, detail)
+        }
+    return wrong + unequal
+}
+
+private fun wrongMark(answer: CallerAnswer): Violation? {
+    val mark = try {
+        snakeJson.decodeFromString<Mark>(answer.body.orEmpty())
+    } catch (e: SerializationException) {
+        return Violation(
+            Guarantee.WRONG_OR_PARTIAL_ANSWER,
+            answer.workId,
+            "not a whole mark: ${e.message}"
+        )
+    }
+    val problem = when {
+        mark.workId != answer.workId -> "it is the answer of ${mark.workId}"
+        mark.bodySha256 != answer.sentSha256 -> "the endpoint got another body"
+        else -> return null
+    }
+    return Violation(Guarantee.WRONG_OR_PARTIAL_ANSWER, answer.workId, problem)
+}
+
+private val notRunOutcomes = setOf("not_run", "deadline_exceeded")
+
+private fun runClaimViolations(evidence: Evidence): List<Violation> {
+    val started = startedWork(evidence.journals)
+    val byRecord = evidence.records
+        .filter { it.outcome in notRunOutcomes || (it.outcome == "cancelled" && !it.mayHaveRun) }
+        .map { it.workId to "the record says ${it.outcome}" }
+    // A refused try says nothing about a later try of the same id that was accepted.
+    val byAnswer = evidence.answers.groupBy { it.workId }
+        .filterValues { tries -> tries.all { it.outcome in notRunOutcomes || it.ran == "no" } }
+        .map { (workId, _) -> workId to "every answer says that it was not run" }
+    return (byRecord + byAnswer).filter { (workId, _) -> workId in started }
+        .map { (workId, claim) -> Violation(Guarantee.NOT_RUN_BUT_RAN, workId, claim) }
+}
+
+private fun startedWork(lines: List<JournalLine>): Map<String, Int> =
+    lines.filter { it.event == JournalEvent.START }
+        .mapNotNull { it.workId ?: it.taskId?.substringBeforeLast('#') }
+        .groupingBy { it }.eachCount()
+
+private fun repeatViolations(evidence: Evidence): List<Violation> {
+    val once = evidence.answers.filter { !it.idempotent }.map { it.workId } +
+        evidence.records.filter { !it.idempotent }.map { it.workId }
+    val starts = evidence.journals.filter { it.event == JournalEvent.START }
+        .groupingBy { it.workId }.eachCount()
+    return once.distinct().filter { (starts[it] ?: 0) > 1 }.map {
+        Violation(Guarantee.NON_IDEMPOTENT_RAN_TWICE, it, "it was started ${starts[it]} times")
+    }
+}
+
+private fun recordViolations(evidence: Evidence): List<Violation> {
+    val recorded = evidence.records.map { it.workId }.toSet()
+    val started = startedWork(evidence.journals)
+    val lost = evidence.answers.filter { evidence.recordsAreComplete && isAccepted(it) }
+        .map { it.workId }.distinct().filter { it !in recorded }
+        .map { Violation(Guarantee.LOST_WORK, it, "it was accepted and has no record") }
+    val unran = evidence.records.filter { it.outcome == "succeeded" && it.workId !in started }
+        .map { Violation(Guarantee.SUCCEEDED_WITHOUT_RUN, it.workId, "no journal has a start") }
+    return lost + unran
+}
+
+private fun isAccepted(answer: CallerAnswer): Boolean =
+    answer.outcome != null || answer.status == 202
