--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/raft/MembershipChange.kt
@@ -0,0 +1,65 @@
+package dev.jackdawdale.raft
+
+import dev.jackdawdale.model.Blob
+
+internal fun StepScope.bootstrap(membership: Membership) {
+    if (!state.isBlank) return
+    state = state.copy(term = 1)
+    emit(RaftEffect.WriteVote(1, null))
+    appendAsLeader(EntryKind.MEMBERS, Blob(membership.encode()))
+    startPreVote()
+}
+
+internal fun StepScope.changeMembers(change: MemberChange) {
+    val next = state.membership.after(change)
+    val reason = when {
+        !state.ready -> RejectReason.NOT_LEADER
+        state.log.membershipIndex > state.commitIndex -> RejectReason.CHANGE_IN_PROGRESS
+        next == null -> RejectReason.DOES_NOT_FIT
+        else -> null
+    }
+    if (reason != null || next == null) {
+        return emit(RaftEffect.Rejected(reason ?: RejectReason.DOES_NOT_FIT))
+    }
+    appendAsLeader(EntryKind.MEMBERS, Blob(next.encode()))
+    emit(RaftEffect.Appended(state.lastIndex, state.term))
+    var peers = state.peers
+    for (member in next.members) {
+        if (member.replicaId == state.self || member.replicaId in peers) continue
+        val progress = Progress(nextIndex = state.lastIndex + 1, lastHeardMs = nowMs)
+        peers = peers.put(member.replicaId, progress)
+    }
+    for (id in peers.keys) if (next.member(id) == null) peers = peers.remove(id)
+    state = state.copy(peers = peers)
+    replicate()
+    advanceCommit()
+}
+
+/**
+ * Takes one step towards a membership with the new identity: removes the old one of the same
+ * host, then adds the new one as a learner. The joining replica asks again until it is a member.
+ */
+internal fun StepScope.join(input: RaftInput.Join) {
+    if (!state.ready || state.membership.member(input.replicaId) != null) return
+    val old = state.membership.members.find { it.hostId == input.hostId }
+    if (old == null) {
+        return changeMembers(MemberChange.AddLearner(input.replicaId, input.hostId))
+    }
+    // An identity that still answers belongs to a second process on the same host.
+    val heardMs = state.peers[old.replicaId]?.lastHeardMs ?: return
+    if (nowMs - heardMs < state.settings.electionTimeoutMs) return
+    changeMembers(MemberChange.Remove(old.replicaId))
+}
+
+internal fun StepScope.promoteLearner() {
+    if (!state.ready || state.log.membershipIndex > state.commitIndex) return
+    val learner = state.membership.members.find { !it.voter && isCaughtUp(it.replicaId) } ?: return
+    changeMembers(MemberChange.Promote(learner.replicaId))
+}
+
+private fun StepScope.isCaughtUp(id: ReplicaId): Boolean {
+    val peer = state.peers[id] ?: return false
+    return peer.mode == Mode.REPLICATE &&
+        peer.matchIndex + state.settings.promoteWithinEntries >= state.lastIndex &&
+        nowMs - peer.lastHeardMs < state.settings.electionTimeoutMs
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftMessage.kt
@@ -0,0 +1,174 @@
+package dev.jackdawdale.raft
+
+import dev.jackdawdale.model.Blob
+import dev.jackdawdale.model.HostId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Longest run of payload bytes in one message; keeps encoded messages under 1 MiB. */
+internal const val MAX_MESSAGE_PAYLOAD_BYTES = 512 * 1024
+
+/** Messages between control replicas. */
+@Serializable
+internal sealed interface RaftMessage {
+    /** Identity of the sender's data folder. */
+    val from: ReplicaId
+}
+
+/** Messages of the consensus protocol. A replica with an identity other than [to] drops them. */
+@Serializable
+internal sealed interface ConsensusMessage : RaftMessage {
+    val to: ReplicaId
+    val term: Long
+}
+
+/** Asks whether a vote in [term] would be granted; changes nothing at the receiver. */
+@Serializable
+@SerialName("preVote")
+internal data class PreVote(
+    override val from: ReplicaId,
+    override val to: ReplicaId,
+    override val term: Long,
+    val lastIndex: Long,
+    val lastTerm: Long
+) : ConsensusMessage
+
+/** [term] is the asked term when granted, else the term of the sender. */
+@Serializable
+@SerialName("preVoteReply")
+internal data class PreVoteReply(
+    override val from: ReplicaId,
+    override val to: ReplicaId,
+    override val term: Long,
+    val granted: Boolean
+) : ConsensusMessage
+
+/** Asks for a vote; [transfer] marks an election that the leader itself asked for. */
+@Serializable
+@SerialName("vote")
+internal data class Vote(
+    override val from: ReplicaId,
+    override val to: ReplicaId,
+    override val term: Long,
+    val lastIndex: Long,
+    val lastTerm: Long,
+    val transfer: Boolean
+) : ConsensusMessage
+
+@Serializable
+@SerialName("voteReply")
+internal data class VoteReply(
+    override val from: ReplicaId,
+    override val to: ReplicaId,
+    override val term: Long,
+    val granted: Boolean
+) : ConsensusMessage
+
+/** Replicates [entries]; without entries it is a heartbeat. [readRound] is echoed in the reply. */
+@Serializable
+@SerialName("append")
+internal data class Append(
+    override val from: ReplicaId,
+    override val to: ReplicaId,
+    override val term: Long,
+    val previousIndex: Long,
+    val previousTerm: Long,
+    val entries: List<Entry>,
+    val commitIndex: Long,
+    val readRound: Long
+) : ConsensusMessage
+
+/**
+ * Sent after everything up to [matchIndex] is synced.
+ *
+ * @property previousIndex the one of the answered [Append]
+ * @property matchIndex last index known equal to the leader's log; when refused, the index from
+ *   which the leader should try again
+ */
+@Serializable
+@SerialName("appendReply")
+internal data class AppendReply(
+    override val from: ReplicaId,
+    override val to: ReplicaId,
+    override val term: Long,
+    val success: Boolean,
+    val previousIndex: Long,
+    val matchIndex: Long,
+    val readRound: Long
+) : ConsensusMessage
+
+/** Where a snapshot stands in the log, and the membership at that point. */
+@Serializable
+internal data class SnapshotMeta(val index: Long, val term: Long, val membership: Membership)
+
+/** A chunk of a snapshot of [totalBytes] bytes. */
+@Serializable
+@SerialName("installSnapshot")
+internal data class InstallSnapshot(
+    override val from: ReplicaId,
+    override val to: ReplicaId,
+    override val term: Long,
+    val meta: SnapshotMeta,
+    val offset: Long,
+    val totalBytes: Long,
+    val data: Blob,
+    val readRound: Long
+) : ConsensusMessage
+
+/** Asks for the chunk at [nextOffset]; [done] once the snapshot is installed and synced. */
+@Serializable
+@SerialName("installSnapshotReply")
+internal data class InstallSnapshotReply(
+    override val from: ReplicaId,
+    override val to: ReplicaId,
+    override val term: Long,
+    val index: Long,
+    val nextOffset: Long,
+    val done: Boolean,
+    val readRound: Long
+) : ConsensusMessage
+
+/** The leader asks the receiver to start an election at once. */
+@Serializable
+@SerialName("timeoutNow")
+internal data class TimeoutNow(
+    override val from: ReplicaId,
+    override val to: ReplicaId,
+    override val term: Long
+) : ConsensusMessage
+
+/** Sent by a replica that knows no membership; asks to join, or to form the first membership. */
+@Serializable
+@SerialName("hello")
+internal data class Hello(override val from: ReplicaId, val hostId: HostId) : RaftMessage
+
+/** [blank] means that the sender's folder holds neither an entry nor a term. */
+@Serializable
+@SerialName("helloReply")
+internal data class HelloReply(
+    override val from: ReplicaId,
+    val hostId: HostId,
+    val blank: Boolean
+) : RaftMessage
+
+/** Asks for records from [number] on; [offset] continues a record that did not fit. */
+@Serializable
+@SerialName("recordFetch")
+internal data class RecordFetch(override val from: ReplicaId, val number: Long, val offset: Int) :
+    RaftMessage
+
+/** Records in order of number; empty when the sender lacks the first one asked for. */
+@Serializable
+@SerialName("recordBatch")
+internal data class RecordBatch(override val from: ReplicaId, val parts: List<RecordPart>) :
+    RaftMessage
+
+/** The bytes of a record from [offset] on. */
+@Serializable
+internal data class RecordPart(
+    val number: Long,
+    val offset: Int,
+    val totalBytes: Int,
+    val chainHash: Blob,
+    val data: Blob
+)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
@@ -0,0 +1,143 @@
+package dev.jackdawdale.raft
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+
+/** Timing and limits of the consensus core. */
+internal data class RaftSettings(
+    val electionTimeoutMs: Long = 1_000,
+    val heartbeatMs: Long = 150,
+    val maxAppendBytes: Int = MAX_MESSAGE_PAYLOAD_BYTES,
+    val maxInFlightAppends: Int = 64,
+    val promoteWithinEntries: Long = 256
+)
+
+internal enum class Role { FOLLOWER, PRE_CANDIDATE, CANDIDATE, LEADER }
+
+/** How the leader replicates to one peer. */
+internal enum class Mode {
+    /** One message at a time until the common prefix of the logs is known. */
+    PROBE,
+
+    /** Entries are sent without waiting for earlier replies. */
+    REPLICATE,
+
+    /** The peer needs entries that the log no longer holds. */
+    SNAPSHOT
+}
+
+/**
+ * What the leader knows of one peer.
+ *
+ * @property inFlight last index of each append that was not answered
+ * @property waiting in [Mode.PROBE]: an append was sent and not answered since the last heartbeat
+ */
+internal data class Progress(
+    val matchIndex: Long = 0,
+    val nextIndex: Long,
+    val mode: Mode = Mode.PROBE,
+    val inFlight: PersistentList<Long> = persistentListOf(),
+    val waiting: Boolean = false,
+    val snapshotIndex: Long = 0,
+    val snapshotOffset: Long = 0,
+    val readRound: Long = 0,
+    val lastHeardMs: Long
+)
+
+/** A read that waits for a quorum to confirm the leader in [round]. */
+internal data class PendingRead(val readId: Long, val round: Long, val index: Long)
+
+/** The snapshot that is being received. */
+internal data class IncomingSnapshot(
+    val meta: SnapshotMeta,
+    val nextOffset: Long,
+    val installing: Boolean
+)
+
+/** A time before all others whose distance to any time does not overflow. */
+internal const val NEVER_MS = Long.MIN_VALUE / 2
+
+/**
+ * The whole state of the consensus core of one replica.
+ *
+ * @property durableIndex last index known to be synced on this replica
+ * @property ready the leader has committed an entry of its own term
+ * @property random state of the generator of election timeouts
+ */
+internal data class RaftState(
+    val settings: RaftSettings,
+    val self: ReplicaId,
+    val log: RaftLog,
+    val term: Long = 0,
+    val votedFor: ReplicaId? = null,
+    val role: Role = Role.FOLLOWER,
+    val leader: ReplicaId? = null,
+    val durableIndex: Long = log.lastIndex,
+    val commitIndex: Long = log.snapshot.index,
+    val electionDueMs: Long = 0,
+    val leaderHeardMs: Long = NEVER_MS,
+    val heartbeatDueMs: Long = 0,
+    val votes: PersistentSet<ReplicaId> = persistentSetOf(),
+    val peers: PersistentMap<ReplicaId, Progress> = persistentMapOf(),
+    val termStartIndex: Long = 0,
+    val ready: Boolean = false,
+    val readRound: Long = 0,
+    val reads: PersistentList<PendingRead> = persistentListOf(),
+    val transferTo: ReplicaId? = null,
+    val transferDueMs: Long = 0,
+    val incoming: IncomingSnapshot? = null,
+    val random: Long
+)
+
+internal val RaftState.membership: Membership get() = log.membership
+
+internal val RaftState.lastIndex: Long get() = log.lastIndex
+
+/** True when the folder holds neither an entry nor a term. */
+internal val RaftState.isBlank: Boolean
+    get() = term == 0L && lastIndex == 0L && log.membership.members.isEmpty()
+
+/** The latest time at or after which a quorum of voters was heard, this replica included. */
+internal fun RaftState.quorumHeardMs(nowMs: Long): Long = quorumValue { id ->
+    if (id == self) nowMs else peers[id]?.lastHeardMs ?: NEVER_MS
+}
+
+/** The greatest value that a quorum of voters has reached. */
+internal inline fun RaftState.quorumValue(valueOf: (ReplicaId) -> Long): Long {
+    val values = membership.voters.map { valueOf(it.replicaId) }.sortedDescending()
+    return if (values.isEmpty()) NEVER_MS else values[membership.quorum - 1]
+}
+
+/** State of a replica that starts with what its folder holds. */
+internal fun raftState(
+    settings: RaftSettings,
+    self: ReplicaId,
+    term: Long,
+    votedFor: ReplicaId?,
+    log: RaftLog,
+    seed: Long,
+    nowMs: Long
+): RaftState = RaftState(
+    settings = settings,
+    self = self,
+    log = log,
+    term = term,
+    votedFor = votedFor,
+    random = seed
+).withElectionDue(nowMs)
+
+/** Draws the next election timeout, between one and two times the configured one. */
+internal fun RaftState.withElectionDue(nowMs: Long): RaftState {
+    val next = random + GOLDEN_GAMMA
+    var mixed = (next xor (next ushr 30)) * -0x40a7b892e31b1a47L
+    mixed = (mixed xor (mixed ushr 27)) * -0x6b2fb644ecceee15L
+    val extra = Math.floorMod(mixed xor (mixed ushr 31), settings.electionTimeoutMs)
+    return copy(random = next, electionDueMs = nowMs + settings.electionTimeoutMs + extra)
+}
+
+// Increment of the SplitMix64 generator.
+private const val GOLDEN_GAMMA = -0x61c8864680b583ebL
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -0,0 +1,268 @@
+package dev.jackdawdale.replica
+
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.raft.ConsensusMessage
+import dev.jackdawdale.raft.Entry
+import dev.jackdawdale.raft.Hello
+import dev.jackdawdale.raft.HelloReply
+import dev.jackdawdale.raft.MemberChange
+import dev.jackdawdale.raft.RaftEffect
+import dev.jackdawdale.raft.RaftInput
+import dev.jackdawdale.raft.RaftMessage
+import dev.jackdawdale.raft.RaftState
+import dev.jackdawdale.raft.RecordBatch
+import dev.jackdawdale.raft.RecordFetch
+import dev.jackdawdale.raft.Role
+import dev.jackdawdale.raft.isBlank
+import dev.jackdawdale.raft.lastIndex
+import dev.jackdawdale.raft.lastTerm
+import dev.jackdawdale.raft.member
+import dev.jackdawdale.raft.membership
+import dev.jackdawdale.raft.step
+import dev.jackdawdale.storage.StorageError
+import dev.jackdawdale.storage.StorageWrite
+
+/**
+ * One member of the replicated log. All functions are called on the control thread; times are
+ * milliseconds of one clock that does not go back.
+ *
+ * ```
+ * val replica = replica(settings, replicaFolder(path), callbacks, control, storageThread)
+ * replica.start(nowMs)
+ * // every few milliseconds: replica.tick(nowMs)
+ * // for each message of the transport: replica.receive(from, message, nowMs)
+ * ```
+ */
+internal class Replica internal constructor(
+    private val settings: ReplicaSettings,
+    private val callbacks: ReplicaCallbacks,
+    private val threads: ReplicaThreads,
+    private var state: RaftState,
+    private val parts: ReplicaParts
+) {
+    private val queue = StorageQueue(
+        parts.storage,
+        threads.control,
+        threads.storage,
+        ::fail
+    )
+    private val assembler = CommandAssembler()
+    private val joining = Joining(settings.hostId, settings.hosts)
+    private val snapshots = Snapshots(settings, callbacks, threads, parts.storage, queue)
+    private val calls = PendingCalls()
+    private var appliedIndex = state.commitIndex
+    private var nowMs = 0L
+    private var helloDueMs = 0L
+    private var stopped = false
+    private var storageError: StorageError? = null
+    private var writes = mutableListOf<StorageWrite>()
+    private var heldSends = mutableListOf<RaftEffect.Send>()
+    private val due = ArrayDeque<RaftEffect>()
+    private var performing = false
+
+    /** Restores the state from the folder and takes part from now on. */
+    fun start(nowMs: Long) {
+        this.nowMs = nowMs
+        parts.snapshot?.let { callbacks.restore(it.meta.index, it.bytes) }
+        tick(nowMs)
+    }
+
+    /** Advances timers; to be called at least every 50 ms. */
+    fun tick(nowMs: Long) {
+        if (stopped) return
+        this.nowMs = nowMs
+        run(RaftInput.Tick)
+        introduce()
+        takeSnapshotIfDue()
+    }
+
+    /** Takes a message that [from] sent. */
+    fun receive(from: HostId, message: RaftMessage, nowMs: Long) {
+        if (stopped) return
+        this.nowMs = nowMs
+        when (message) {
+            is ConsensusMessage -> run(RaftInput.Receive(from, message))
+            is Hello -> onHello(from, message)
+            is HelloReply -> joining.onReply(message, nowMs)
+            is RecordFetch, is RecordBatch -> Unit
+        }
+    }
+
+    /** Appends a command when this replica leads. It is committed once `apply` is called. */
+    fun propose(payload: ByteArray, nowMs: Long): ProposeResult {
+        if (stopped) return ProposeResult.NotLeader(null)
+        this.nowMs = nowMs
+        val appended = run(RaftInput.Propose(commandParts(payload)))
+            .firstNotNullOfOrNull { it as? RaftEffect.Appended }
+            ?: return ProposeResult.NotLeader(leaderHost())
+        return ProposeResult.Appended(appended.index, appended.term)
+    }
+
+    /** Calls [onResult] once the applied state holds everything committed before this call. */
+    fun read(nowMs: Long, onResult: (ReadResult) -> Unit) {
+        if (stopped) return onResult(ReadResult.NotLeader(null))
+        this.nowMs = nowMs
+        run(RaftInput.Read(calls.addRead(onResult)))
+    }
+
+    /** Hands leadership to the most advanced voter; does nothing unless this replica leads. */
+    fun transferLeadership(nowMs: Long) {
+        if (stopped) return
+        this.nowMs = nowMs
+        run(RaftInput.TransferLeadership)
+    }
+
+    /** Changes one member; at most one change is in progress at any time. */
+    fun changeMembers(change: MemberChange, nowMs: Long, onResult: (ChangeResult) -> Unit) {
+        if (stopped) return onResult(ChangeResult.Refused("the replica has stopped"))
+        this.nowMs = nowMs
+        val answer = run(RaftInput.ChangeMembers(change))
+            .first { it is RaftEffect.Appended || it is RaftEffect.Rejected }
+        when (answer) {
+            is RaftEffect.Appended -> calls.addChange(answer, onResult)
+            is RaftEffect.Rejected -> onResult(ChangeResult.Refused(answer.reason.name.lowercase()))
+            else -> Unit
+        }
+    }
+
+    /** What this replica knows at [nowMs]. */
+    fun status(nowMs: Long): ReplicaStatus = replicaStatus(state, nowMs, appliedIndex, storageError)
+
+    /** Stops taking part. Writes already handed to the storage thread still complete. */
+    fun stop() {
+        if (stopped) return
+        stopped = true
+        calls.failAll(null)
+    }
+
+    private fun leaderHost(): HostId? = state.leader?.let { state.membership.member(it)?.hostId }
+
+    /**
+     * Writes and messages of the step are handed on first; callbacks come after, in order, and
+     * may call this replica again.
+     */
+    private fun run(input: RaftInput): List<RaftEffect> {
+        val result = step(state, input, nowMs)
+        state = result.state
+        result.effects.forEach(::prepare)
+        flush()
+        due += result.effects
+        if (!performing) performDue()
+        return result.effects
+    }
+
+    private fun performDue() {
+        performing = true
+        while (due.isNotEmpty()) perform(due.removeFirst())
+        performing = false
+    }
+
+    private fun prepare(effect: RaftEffect) {
+        when (effect) {
+            is RaftEffect.WriteVote -> writes += StorageWrite.Vote(effect.term, effect.votedFor)
+            is RaftEffect.WriteEntries -> writes += StorageWrite.Entries(effect.entries)
+            is RaftEffect.Send -> send(effect)
+            is RaftEffect.SendSnapshot -> snapshots.sendChunk(effect)
+            is RaftEffect.StoreChunk -> snapshots.store(effect.chunk)
+            is RaftEffect.Install -> install(effect)
+            else -> Unit
+        }
+    }
+
+    private fun perform(effect: RaftEffect) {
+        when (effect) {
+            is RaftEffect.Commit -> effect.entries.forEach(::apply)
+            is RaftEffect.BecameLeader -> callbacks.becameLeader(effect.term)
+            is RaftEffect.LostLeadership -> lostLeadership(effect)
+            is RaftEffect.ReadReady -> calls.readReady(effect)
+            is RaftEffect.ReadFailed -> calls.readFailed(effect.readId, leaderHost())
+            else -> Unit
+        }
+    }
+
+    private fun send(effect: RaftEffect.Send) {
+        val mustWait = effect.afterSync && (writes.isNotEmpty() || !queue.isIdle)
+        if (mustWait) heldSends += effect else callbacks.send(effect.to, effect.message)
+    }
+
+    /** Hands the writes of a step to the storage thread, with the messages that wait for them. */
+    private fun flush() {
+        if (writes.isEmpty() && heldSends.isEmpty()) return
+        val sends = heldSends
+        val persisted = RaftInput.Persisted(state.term, state.lastIndex, state.log.lastTerm)
+        val batch = StorageBatch(writes) {
+            if (!stopped) {
+                sends.forEach { callbacks.send(it.to, it.message) }
+                run(persisted)
+            }
+        }
+        writes = mutableListOf()
+        heldSends = mutableListOf()
+        queue.submit(batch)
+    }
+
+    private fun apply(entry: Entry) {
+        val command = assembler.add(entry)
+        appliedIndex = entry.index
+        if (command != null) callbacks.apply(entry.index, command)
+        snapshots.countApplied(entry)
+        calls.committed(entry)
+    }
+
+    private fun install(effect: RaftEffect.Install) {
+        val snapshot = snapshots.received(effect.meta)
+        queue.submit(
+            StorageBatch(listOf(StorageWrite.Install(snapshot))) {
+                if (!stopped) {
+                    assembler.clear()
+                    appliedIndex = snapshot.meta.index
+                    callbacks.restore(snapshot.meta.index, snapshot.bytes)
+                    run(RaftInput.SnapshotInstalled(snapshot.meta))
+                }
+            }
+        )
+    }
+
+    private fun takeSnapshotIfDue() {
+        if (assembler.isPartial) return
+        snapshots.takeIfDue(state, appliedIndex) { taken ->
+            if (!stopped) run(taken)
+        }
+    }
+
+    private fun lostLeadership(effect: RaftEffect.LostLeadership) {
+        calls.failChanges()
+        callbacks.lostLeadership(effect.term)
+    }
+
+    private fun onHello(from: HostId, message: Hello) {
+        callbacks.send(from, HelloReply(state.self, settings.hostId, state.isBlank))
+        val known = from in settings.hosts || state.membership.members.any { it.hostId == from }
+        if (state.ready && known) run(RaftInput.Join(message.from, from))
+    }
+
+    /** A replica outside of the membership asks to be let in, or forms the first membership. */
+    private fun introduce() {
+        val isMember = state.membership.member(state.self) != null
+        val hearsLeader = nowMs - state.leaderHeardMs < settings.raft.electionTimeoutMs
+        if (isMember || hearsLeader) return
+        val first = if (state.isBlank) joining.firstMembership(state.self, nowMs) else null
+        if (first != null) {
+            run(RaftInput.Bootstrap(first))
+        } else if (nowMs >= helloDueMs) {
+            helloDueMs = nowMs + settings.helloEveryMs
+            val others = settings.hosts.filter { it != settings.hostId }
+            others.forEach { callbacks.send(it, Hello(state.self, settings.hostId)) }
+        }
+    }
+
+    /** Stops for good: what the disk holds is no longer certain. */
+    private fun fail(error: StorageError) {
+        if (storageError != null) return
+        storageError = error
+        val ledTerm = state.term.takeIf { state.role == Role.LEADER && state.ready }
+        stop()
+        ledTerm?.let(callbacks.lostLeadership)
+        callbacks.storageFailed(error)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/replica/ReplicaCallbacks.kt
@@ -0,0 +1,31 @@
+package dev.jackdawdale.replica
+
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.raft.RaftMessage
+import dev.jackdawdale.storage.StorageError
+
+/**
+ * What a replica asks of its owner. All functions are called on the control thread.
+ *
+ * @property send hands a message to the transport; must not block, may drop it
+ * @property apply takes a committed command, in log order, once per start of the process
+ * @property restore replaces the whole state by a snapshot taken at the log index
+ * @property capture takes a cheap copy of the state; the returned function encodes it on another
+ *   thread
+ * @property becameLeader called after all entries of earlier terms are applied; from now on
+ *   proposals are accepted
+ * @property lostLeadership entries proposed in the term and not applied yet may or may not commit
+ * @property storageFailed the replica has stopped; only a restart of the process helps
+ * @property recordsSynced true when the records of all entries up to the index are synced; no
+ *   snapshot is kept, and no entry dropped, before that
+ */
+internal class ReplicaCallbacks(
+    val send: (to: HostId, message: RaftMessage) -> Unit,
+    val apply: (index: Long, payload: ByteArray) -> Unit,
+    val restore: (index: Long, snapshot: ByteArray) -> Unit,
+    val capture: () -> () -> ByteArray,
+    val becameLeader: (term: Long) -> Unit = {},
+    val lostLeadership: (term: Long) -> Unit = {},
+    val storageFailed: (error: StorageError) -> Unit = {},
+    val recordsSynced: (index: Long) -> Boolean = { true }
+)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/replica/ReplicaSettings.kt
@@ -0,0 +1,27 @@
+package dev.jackdawdale.replica
+
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.raft.RaftSettings
+
+/**
+ * Settings of one control replica.
+ *
+ * @property hosts the configured control hosts, this one included; they form the first membership
+ * @property snapshotEveryEntries applied entries after which a snapshot is taken
+ * @property snapshotEveryBytes payload bytes after which a snapshot is taken
+ * @property retainedEntries entries kept before a snapshot, so that a replica that missed few
+ *   entries does not need the snapshot
+ * @property retainedBytes the retained entries are cut to this size
+ * @property seed of election timeouts; must differ between replicas
+ */
+internal data class ReplicaSettings(
+    val hostId: HostId,
+    val hosts: List<HostId>,
+    val raft: RaftSettings = RaftSettings(),
+    val snapshotEveryEntries: Long = 20_000,
+    val snapshotEveryBytes: Long = 64L * 1024 * 1024,
+    val retainedEntries: Long = 5_000,
+    val retainedBytes: Long = 16L * 1024 * 1024,
+    val helloEveryMs: Long = 200,
+    val seed: Long = hostId.value.hashCode().toLong()
+)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/replica/Snapshots.kt
@@ -0,0 +1,149 @@
+package dev.jackdawdale.replica
+
+import dev.jackdawdale.model.Blob
+import dev.jackdawdale.raft.Entry
+import dev.jackdawdale.raft.InstallSnapshot
+import dev.jackdawdale.raft.MAX_MESSAGE_PAYLOAD_BYTES
+import dev.jackdawdale.raft.Mode
+import dev.jackdawdale.raft.RaftEffect
+import dev.jackdawdale.raft.RaftInput
+import dev.jackdawdale.raft.RaftLog
+import dev.jackdawdale.raft.RaftState
+import dev.jackdawdale.raft.SnapshotMeta
+import dev.jackdawdale.raft.entry
+import dev.jackdawdale.raft.lastIndex
+import dev.jackdawdale.raft.membershipAt
+import dev.jackdawdale.raft.termAt
+import dev.jackdawdale.storage.ReplicaStorage
+import dev.jackdawdale.storage.StorageException
+import dev.jackdawdale.storage.StorageWrite
+import dev.jackdawdale.storage.StoredSnapshot
+import java.io.ByteArrayOutputStream
+
+/** While a peer receives the snapshot, a new one is delayed until the log is this much longer. */
+private const val TRANSFER_DELAY_FACTOR = 4
+
+/** Takes snapshots of this replica's state, and sends and receives those of others. */
+internal class Snapshots(
+    private val settings: ReplicaSettings,
+    private val callbacks: ReplicaCallbacks,
+    private val threads: ReplicaThreads,
+    private val storage: ReplicaStorage,
+    private val queue: StorageQueue
+) {
+    private var appliedBytes = 0L
+    private var taking = false
+    private var encoded: StoredSnapshot? = null
+    private val incoming = ByteArrayOutputStream()
+
+    fun countApplied(entry: Entry) {
+        appliedBytes += entry.payload.sizeBytes
+    }
+
+    /** Starts a snapshot when enough was applied, or goes on with one that waits for records. */
+    fun takeIfDue(
+        state: RaftState,
+        appliedIndex: Long,
+        onTaken: (RaftInput.SnapshotTaken) -> Unit
+    ) {
+        val waiting = encoded
+        if (waiting != null) return keepIfSafe(waiting, state.log, onTaken)
+        if (taking || !isDue(state, appliedIndex)) return
+        taking = true
+        appliedBytes = 0
+        val meta = SnapshotMeta(
+            appliedIndex,
+            checkNotNull(state.log.termAt(appliedIndex)),
+            state.log.membershipAt(appliedIndex)
+        )
+        val encode = callbacks.capture()
+        threads.background.execute {
+            val bytes = encode()
+            threads.control.execute { encoded = StoredSnapshot(meta, bytes) }
+        }
+    }
+
+    private fun isDue(state: RaftState, appliedIndex: Long): Boolean {
+        val transferring = state.peers.values.any {
+            it.mode == Mode.SNAPSHOT &&
+                it.lastHeardMs + settings.raft.electionTimeoutMs > state.heartbeatDueMs
+        }
+        val factor = if (transferring) TRANSFER_DELAY_FACTOR else 1
+        val entries = appliedIndex - state.log.snapshot.index
+        return entries >= settings.snapshotEveryEntries * factor ||
+            appliedBytes >= settings.snapshotEveryBytes * factor
+    }
+
+    /** A snapshot allows the log to be cut, so it waits until the records before it are synced. */
+    private fun keepIfSafe(
+        snapshot: StoredSnapshot,
+        log: RaftLog,
+        onTaken: (RaftInput.SnapshotTaken) -> Unit
+    ) {
+        if (!callbacks.recordsSynced(snapshot.meta.index)) return
+        encoded = null
+        val taken = RaftInput.SnapshotTaken(snapshot.meta, dropThrough(snapshot.meta, log))
+        threads.background.execute {
+            val written = writeSnapshot(snapshot)
+            threads.control.execute {
+                taking = false
+                if (written) {
+                    onTaken(taken)
+                    val drop = listOf(StorageWrite.DropThrough(taken.dropThrough))
+                    queue.submit(StorageBatch(drop) {})
+                }
+            }
+        }
+    }
+
+    /** A snapshot that cannot be written costs disk space; the log still holds everything. */
+    private fun writeSnapshot(snapshot: StoredSnapshot): Boolean = try {
+        storage.writeSnapshot(snapshot)
+        true
+    } catch (_: StorageException) {
+        false
+    }
+
+    private fun dropThrough(meta: SnapshotMeta, log: RaftLog): Long {
+        var index = minOf(meta.index, log.lastIndex)
+        var bytes = 0L
+        while (index > log.baseIndex && meta.index - index < settings.retainedEntries) {
+            bytes += log.entry(index).payload.sizeBytes
+            if (bytes > settings.retainedBytes) break
+            index--
+        }
+        return index
+    }
+
+    fun sendChunk(effect: RaftEffect.SendSnapshot) {
+        val template = effect.template
+        threads.background.execute {
+            val chunk = try {
+                storage.readSnapshot(
+                    template.meta.index,
+                    template.offset,
+                    MAX_MESSAGE_PAYLOAD_BYTES
+                )
+            } catch (_: StorageException) {
+                null
+            }
+            if (chunk != null) {
+                val data = Blob(chunk.bytes)
+                val message = template.copy(totalBytes = chunk.totalBytes, data = data)
+                threads.control.execute { callbacks.send(effect.to, message) }
+            }
+        }
+    }
+
+    fun store(chunk: InstallSnapshot) {
+        if (chunk.offset == 0L) incoming.reset()
+        incoming.writeBytes(chunk.data.bytes)
+    }
+
+    /** The snapshot whose last chunk was stored. */
+    fun received(meta: SnapshotMeta): StoredSnapshot {
+        val snapshot = StoredSnapshot(meta, incoming.toByteArray())
+        incoming.reset()
+        return snapshot
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/replica/StorageQueue.kt
@@ -0,0 +1,57 @@
+package dev.jackdawdale.replica
+
+import dev.jackdawdale.storage.ReplicaStorage
+import dev.jackdawdale.storage.StorageError
+import dev.jackdawdale.storage.StorageException
+import dev.jackdawdale.storage.StorageWrite
+import java.util.concurrent.Executor
+
+/** Writes that become durable together; [onDurable] runs on the control thread. */
+internal class StorageBatch(val writes: List<StorageWrite>, val onDurable: () -> Unit)
+
+/**
+ * Group commit: while one write runs on the storage thread, all further batches wait and then
+ * share the next one. Batches become durable in the order of submission.
+ */
+internal class StorageQueue(
+    private val storage: ReplicaStorage,
+    private val control: Executor,
+    private val storageThread: Executor,
+    private val onFailed: (StorageError) -> Unit
+) {
+    private var waiting = mutableListOf<StorageBatch>()
+    private var running = false
+
+    /** True when everything submitted is durable. */
+    val isIdle: Boolean get() = !running && waiting.isEmpty()
+
+    fun submit(batch: StorageBatch) {
+        waiting += batch
+        if (!running) startNext()
+    }
+
+    private fun startNext() {
+        val batches = waiting
+        waiting = mutableListOf()
+        running = true
+        storageThread.execute {
+            val error = writeAll(batches.flatMap { it.writes })
+            control.execute { finished(batches, error) }
+        }
+    }
+
+    private fun writeAll(writes: List<StorageWrite>): StorageError? = try {
+        if (writes.isNotEmpty()) storage.write(writes)
+        null
+    } catch (e: StorageException) {
+        e.error
+    }
+
+    /** After a failure the queue stays blocked: nothing later may count as durable. */
+    private fun finished(batches: List<StorageBatch>, error: StorageError?) {
+        if (error != null) return onFailed(error)
+        running = false
+        batches.forEach { it.onDurable() }
+        if (!running && waiting.isNotEmpty()) startNext()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/storage/FrameFile.kt
@@ -0,0 +1,163 @@
+package dev.jackdawdale.storage
+
+import java.nio.ByteBuffer
+import java.nio.channels.FileChannel
+import java.nio.file.Path
+import java.nio.file.StandardOpenOption
+import java.util.zip.CRC32C
+
+/**
+ * An append-only file of checksummed frames.
+ *
+ * A frame holds its length, a CRC32C, the file size at the last sync before it was written, and
+ * the payload. That size tells a torn tail from damage: frames written since the last sync may be
+ * missing in any pattern after a crash, all others must be whole.
+ */
+internal class FrameFile(
+    val path: Path,
+    private val channel: FileChannel,
+    private val check: WriteCheck,
+    var sizeBytes: Long
+) : AutoCloseable {
+    private val buffer = ByteBuffer.allocateDirect(BUFFER_BYTES)
+    private var syncedBytes = sizeBytes
+
+    /** Writes a frame of [parts] and returns its offset. It is not synced. */
+    fun append(parts: List<ByteArray>): Long = onDisk(path, check) {
+        val offset = sizeBytes
+        val length = parts.sumOf { it.size }
+        val crc = CRC32C()
+        crc.update(frameHeader(length, 0, syncedBytes))
+        parts.forEach { crc.update(it) }
+        buffered(frameHeader(length, crc.value.toInt(), syncedBytes).array())
+        parts.forEach(::buffered)
+        sizeBytes = offset + FRAME_HEADER_BYTES + length
+        offset
+    }
+
+    /** Makes everything appended durable. */
+    fun sync() = onDisk(path, check) {
+        flush()
+        channel.force(false)
+        syncedBytes = sizeBytes
+    }
+
+    /** Drops everything from [offset] on, durably. */
+    fun truncate(offset: Long) = onDisk(path, check) {
+        flush()
+        channel.truncate(offset)
+        channel.position(offset)
+        channel.force(true)
+        sizeBytes = offset
+        syncedBytes = offset
+    }
+
+    override fun close() = channel.close()
+
+    private fun buffered(bytes: ByteArray) {
+        var from = 0
+        while (from < bytes.size) {
+            if (!buffer.hasRemaining()) flush()
+            val length = minOf(buffer.remaining(), bytes.size - from)
+            buffer.put(bytes, from, length)
+            from += length
+        }
+    }
+
+    private fun flush() {
+        buffer.flip()
+        channel.writeFully(buffer)
+        buffer.clear()
+    }
+}
+
+internal const val FRAME_HEADER_BYTES = 16
+internal const val FILE_HEADER_BYTES = 8
+private const val BUFFER_BYTES = 256 * 1024
+
+// "JDFRAME" and the version of the format.
+private const val FILE_MAGIC = 0x4a444652414d4501L
+
+private fun frameHeader(length: Int, crc: Int, syncedBytes: Long): ByteBuffer =
+    ByteBuffer.allocate(FRAME_HEADER_BYTES).putInt(length).putInt(crc).putLong(syncedBytes).flip()
+
+/** Where the payload of a frame lies in its file. */
+internal data class Frame(val offset: Long, val length: Int)
+
+/** Reads the payload of [frame] out of the whole file [bytes]. */
+internal fun Frame.payload(bytes: ByteArray): ByteBuffer =
+    ByteBuffer.wrap(bytes, offset.toInt() + FRAME_HEADER_BYTES, length).slice()
+
+/** Creates [path] with no frame, durably. */
+internal fun createFrameFile(path: Path, check: WriteCheck): FrameFile = onDisk(path, check) {
+    val options = arrayOf(
+        StandardOpenOption.CREATE,
+        StandardOpenOption.TRUNCATE_EXISTING,
+        StandardOpenOption.WRITE
+    )
+    val channel = FileChannel.open(path, *options)
+    channel.writeFully(ByteBuffer.allocate(FILE_HEADER_BYTES).putLong(FILE_MAGIC).flip())
+    channel.force(true)
+    syncFolder(path.parent)
+    FrameFile(path, channel, check, FILE_HEADER_BYTES.toLong())
+}
+
+/** Opens [path] for appending after [validBytes]; whatever follows is dropped. */
+internal fun openFrameFile(path: Path, validBytes: Long, check: WriteCheck): FrameFile =
+    onDisk(path, check) {
+        val channel = FileChannel.open(path, StandardOpenOption.WRITE)
+        FrameFile(path, channel, check, validBytes).apply { truncate(validBytes) }
+    }
+
+/**
+ * The whole frames of a file with the content [bytes].
+ *
+ * @param mayBeTorn the file is the last of its sequence, so a crash may have cut its end
+ * @throws StorageException when a frame that was synced is not whole
+ */
+internal fun scanFrames(path: Path, bytes: ByteArray, mayBeTorn: Boolean): List<Frame> {
+    val buffer = ByteBuffer.wrap(bytes)
+    val hasHeader = bytes.size >= FILE_HEADER_BYTES && buffer.getLong(0) == FILE_MAGIC
+    if (!hasHeader) {
+        if (mayBeTorn && bytes.size <= FILE_HEADER_BYTES) return emptyList()
+        damaged(path, 0, "not a frame file of this version")
+    }
+    val frames = mutableListOf<Frame>()
+    var offset = FILE_HEADER_BYTES
+    while (offset < bytes.size) {
+        val length = buffer.frameLengthAt(offset)
+        if (length < 0) {
+            if (!mayBeTorn || buffer.hasLaterGroup(offset)) {
+                damaged(path, offset.toLong(), "checksum does not match")
+            }
+            break
+        }
+        frames += Frame(offset.toLong(), length)
+        offset += FRAME_HEADER_BYTES + length
+    }
+    return frames
+}
+
+/** Size of a file that ends with the last of [frames]. */
+internal fun endOf(frames: List<Frame>): Long =
+    frames.lastOrNull()?.let { it.offset + FRAME_HEADER_BYTES + it.length }
+        ?: FILE_HEADER_BYTES.toLong()
+
+/** Payload length of the whole frame at [offset], or -1. */
+private fun ByteBuffer.frameLengthAt(offset: Int): Int {
+    if (limit() - offset < FRAME_HEADER_BYTES) return -1
+    val length = getInt(offset)
+    if (length < 0 || length > limit() - offset - FRAME_HEADER_BYTES) return -1
+    val syncedBytes = getLong(offset + 2 * Int.SIZE_BYTES)
+    if (syncedBytes < FILE_HEADER_BYTES || syncedBytes > offset) return -1
+    val crc = CRC32C()
+    crc.update(frameHeader(length, 0, syncedBytes))
+    crc.update(array(), arrayOffset() + offset + FRAME_HEADER_BYTES, length)
+    return if (crc.value.toInt() == getInt(offset + Int.SIZE_BYTES)) length else -1
+}
+
+/** True when a frame after [badOffset] was written after a sync that covered [badOffset]. */
+private fun ByteBuffer.hasLaterGroup(badOffset: Int): Boolean =
+    (badOffset + 1..limit() - FRAME_HEADER_BYTES).any { offset ->
+        getLong(offset + 2 * Int.SIZE_BYTES) > badOffset && frameLengthAt(offset) >= 0
+    }
