Run the whole path: control loop, host process and serve

Cause: the parts had no process that joins them. Change: the control loop (passes over a speculative state, effects after commit, read barrier for replies without events), entry-host sessions, worker polls, queries, endpoint membership, the wiring of both roles into one process, and serve. A failed attempt now says whether the endpoint was at fault: a placement that a session change took back blocked the endpoint of a healthy cell, which ControlLoopTest found. ControlLoopTest: 9 rows.

--- a/src/main/kotlin/dev/jackdawdale/cli/Main.kt
+++ b/src/main/kotlin/dev/jackdawdale/cli/Main.kt
@@ -1,5 +1,6 @@
 package dev.jackdawdale.cli
 
+import dev.jackdawdale.host.runHost
 import kotlin.system.exitProcess
 import picocli.CommandLine
 import picocli.CommandLine.Command
@@ -25,5 +26,5 @@
 
 /** Runs one command and exits with its status. */
 fun main(args: Array<String>) {
-    exitProcess(rootCommandLine().execute(*args))
+    exitProcess(rootCommandLine(::runHost).execute(*args))
 }
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
@@ -0,0 +1,275 @@
+package dev.jackdawdale.control
+
+import dev.jackdawdale.model.Asked
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.Event
+import dev.jackdawdale.model.EventBatch
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.WorkerId
+import dev.jackdawdale.model.apply
+import dev.jackdawdale.model.decodeCellState
+import dev.jackdawdale.model.decodeEventBatch
+import dev.jackdawdale.model.encode
+import dev.jackdawdale.recovery.leaseGranted
+import dev.jackdawdale.wire.ControlMessage
+import dev.jackdawdale.wire.EntryMessage
+import dev.jackdawdale.wire.Query
+
+/**
+ * Runs every decision of the cell on one thread.
+ *
+ * While this replica leads, inputs are gathered into passes. A pass decides on the state with all
+ * proposed events applied, its events go into the log as one entry, and its effects leave the
+ * process once that entry is committed. All functions must be called on the control thread.
+ *
+ * @param wakeUp asks for a call of [runPass] soon, on the control thread
+ */
+internal class ControlLoop(
+    private val hostId: HostId,
+    private val settings: ControlSettings,
+    private val log: ReplicatedLog,
+    private val records: RecordAccess,
+    private val clock: () -> Long,
+    private val wakeUp: () -> Unit,
+    private val observer: ControlObserver = ControlObserver()
+) {
+    private val inbox = ArrayDeque<(Pass) -> Unit>()
+    private val sessions = ControlSessions()
+    private val waiters = RequestWaiters()
+    private val configurations = ConfigurationSender(settings, log, sessions, clock)
+    private val polls = PollAnswers(settings, { committed }, ::now, ::grantLease)
+    private val commands =
+        CommandHandler(settings, waiters, polls::answerOrHold, ::answerQuery, ::answerEnded)
+    private var leadership: Leadership? = null
+    private var lastTickMs = 0L
+
+    /** What this leader adds to its clock, so that time never goes back in the log. */
+    private var clockAheadMs = 0L
+
+    /** The state with all committed events applied. */
+    var committed: CellState = CellState()
+        private set
+
+    val leads: Boolean get() = leadership != null
+
+    // Callbacks of the replica
+
+    /** Applies a committed log entry. */
+    fun applyCommitted(index: Long, payload: ByteArray) {
+        val own = leadership?.proposed?.firstOrNull()?.takeIf { it.index == index }
+        val before = committed
+        if (own != null) {
+            leadership?.proposed?.removeFirst()
+            committed = own.after
+            records.append(own.records)
+            observer.committed(own.batch, before, committed)
+            release(own)
+            wakeUp()
+        } else {
+            val batch = decodeEventBatch(payload)
+            val applied = before.apply(batch)
+            committed = applied.state
+            records.append(applied.records)
+            observer.committed(batch, before, committed)
+        }
+    }
+
+    /** Replaces the state by a snapshot of another replica. */
+    fun restore(snapshot: ByteArray) {
+        committed = decodeCellState(snapshot)
+    }
+
+    /** Captures the committed state; the returned function encodes it on any thread. */
+    fun capture(): () -> ByteArray {
+        val captured = committed
+        return { captured.encode() }
+    }
+
+    fun becameLeader(term: Long) {
+        clockAheadMs = maxOf(0, committed.lastBatchMs - clock())
+        lastTickMs = 0
+        val nowMs = now()
+        leadership = Leadership(term, committed, softState(committed, nowMs), nowMs)
+        sessions.reset(committed, nowMs)
+        configurations.expedite()
+        observer.roleChanged(true, term)
+    }
+
+    fun lostLeadership(term: Long) {
+        leadership = null
+        inbox.clear()
+        waiters.clear()
+        polls.clear()
+        sessions.closeAll(ControlMessage.NotLeader(log.status().leader))
+        observer.roleChanged(false, term)
+    }
+
+    // Inputs from entry hosts
+
+    fun received(link: SessionLink, message: EntryMessage) {
+        if (leadership == null) {
+            link.send(ControlMessage.NotLeader(log.status().leader))
+            link.close()
+            return
+        }
+        inbox += { pass -> handle(pass, link, message) }
+        wakeUp()
+    }
+
+    fun sessionClosed(link: SessionLink) = sessions.closed(link)
+
+    private fun handle(pass: Pass, link: SessionLink, message: EntryMessage) {
+        val leading = leadership ?: return
+        if (message is EntryMessage.SessionOpen) return pass.openSession(leading, link, message)
+        val session = sessions.of(link) ?: return link.close()
+        sessions.heard(session, pass.nowMs)
+        when (message) {
+            is EntryMessage.SessionOpen -> Unit
+
+            is EntryMessage.SessionHeartbeat -> session.draining = message.draining
+
+            is EntryMessage.AttemptFinished -> pass.finishAttempt(session, message)
+
+            is EntryMessage.CommandCall ->
+                commands.handle(
+                    pass,
+                    leading,
+                    CallContext(session, message.callId),
+                    message.command
+                )
+
+            is EntryMessage.QueryCall -> pass.whenDurable {
+                answerQuery(CallContext(session, message.callId), message.query)
+            }
+        }
+    }
+
+    private fun Pass.openSession(
+        leading: Leadership,
+        link: SessionLink,
+        message: EntryMessage.SessionOpen
+    ) {
+        if (message.highestTerm > leading.term) {
+            link.send(ControlMessage.NotLeader(null))
+            return link.close()
+        }
+        val session = ControlSession(link, message.incarnation)
+        session.draining = message.draining
+        sessions.open(session, nowMs)
+        joinEntryHost(message)
+        whenDurable {
+            link.send(ControlMessage.SessionAccepted(leading.term))
+            configurations.send(session, committed, leading.term)
+        }
+    }
+
+    // Passes
+
+    /** Decides all waiting inputs and due times. */
+    fun runPass() {
+        val leading = leadership ?: return
+        if (leading.proposed.size >= settings.maxBatchesInFlight) return
+        val startedNanos = System.nanoTime()
+        val pass = Pass(leading.state, leading.soft, now())
+        repeat(minOf(inbox.size, settings.maxInputsPerPass)) { inbox.removeFirst()(pass) }
+        val ticks = pass.nowMs - lastTickMs >= settings.tickMs
+        if (ticks) decideDueTimes(pass, leading)
+        pass.schedule(sessions.dispatchable(), settings.maxPlacementsPerPass)
+        finish(pass, leading)
+        if (ticks) sendDue(leading)
+        observer.passFinished(System.nanoTime() - startedNanos, pass.events.size)
+        if (inbox.isNotEmpty()) wakeUp()
+    }
+
+    private fun decideDueTimes(pass: Pass, leading: Leadership) {
+        lastTickMs = pass.nowMs
+        pass.tickMembers(leading, sessions, settings)
+        pass.tickTasks()
+    }
+
+    private fun sendDue(leading: Leadership) {
+        polls.answerDue()
+        configurations.sendDue(committed, leading.term)
+    }
+
+    private fun finish(pass: Pass, leading: Leadership) {
+        leading.soft = pass.soft
+        if (pass.events.isEmpty()) return confirm(pass.effects)
+        val batch = EventBatch(pass.nowMs, pass.events)
+        val index = log.propose(batch.encode(), clock()) ?: return
+        leading.state = pass.state.copy(lastBatchMs = pass.nowMs)
+        leading.proposed += ProposedBatch(index, batch, leading.state, pass)
+    }
+
+    /**
+     * Runs effects that follow from no event. They wait for a quorum's word that this replica
+     * still leads, and then for all batches proposed so far.
+     */
+    private fun confirm(effects: List<() -> Unit>) {
+        if (effects.isEmpty()) return
+        val leading = leadership
+        log.confirmLeadership(clock()) { stillLeads ->
+            if (!stillLeads || leadership !== leading) return@confirmLeadership
+            val last = leading?.proposed?.lastOrNull()
+            if (last == null) effects.forEach { it() } else last.effects += effects
+        }
+    }
+
+    private fun release(own: ProposedBatch) {
+        own.batch.events.forEach { event ->
+            when (event) {
+                is Event.RequestPlaced -> dispatch(event)
+                is Event.RequestEnded -> notifyWaiters(event)
+                is Event.ContractChanged -> configurations.expedite()
+                else -> Unit
+            }
+        }
+        own.effects.forEach { it() }
+        own.batch.events.mapNotNull(::workerWithOrders).toSet().forEach(polls::recheck)
+        leadership?.let { configurations.sendDue(committed, it.term) }
+    }
+
+    private fun workerWithOrders(event: Event): WorkerId? = when (event) {
+        is Event.TaskPlaced -> event.workerId
+        is Event.TaskStopRequested -> committed.tasks[event.taskId]?.placement?.workerId
+        is Event.TaskRecounted -> committed.tasks[event.taskId]?.placement?.workerId
+        else -> null
+    }
+
+    private fun now(): Long = clock() + clockAheadMs
+
+    // Effects
+
+    /** Sends a placed request to its entry host unless the placement was already taken back. */
+    private fun dispatch(event: Event.RequestPlaced) {
+        val work = leadership?.state?.requests?.get(event.workId) ?: return
+        if (work.placement?.token != event.token) return
+        val session = sessions.of(event.entryHostId) ?: return
+        if (session.incarnation != event.entryIncarnation) return
+        val endpoint = committed.endpoints[event.endpointId] ?: return
+        val term = leadership?.term ?: return
+        session.link.send(dispatchOf(term, work, endpoint, now(), settings))
+    }
+
+    private fun notifyWaiters(event: Event.RequestEnded) {
+        val ended = ControlMessage.RequestEnded(event.workId, event.outcome, event.answer)
+        waiters.take(event.workId).forEach { sessions.of(it)?.link?.send(ended) }
+    }
+
+    private fun grantLease(workerId: WorkerId) {
+        val leading = leadership ?: return
+        val tasks = leaseGranted(leading.soft.tasks, workerId, now())
+        leading.soft = leading.soft.copy(tasks = tasks)
+    }
+
+    private fun answerQuery(call: CallContext, query: Query) {
+        view()?.answer(query, call::reply)
+    }
+
+    private fun answerEnded(call: CallContext, asked: Asked) {
+        view()?.answerEnded(asked, call::reply)
+    }
+
+    private fun view(): CellView? =
+        leadership?.let { CellView(hostId, committed, it, log.status(), records, now()) }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/control/Pass.kt
@@ -0,0 +1,61 @@
+package dev.jackdawdale.control
+
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.Event
+import dev.jackdawdale.model.WorkRecord
+import dev.jackdawdale.model.apply
+import dev.jackdawdale.model.recordCompletedBy
+import dev.jackdawdale.placement.PlacementState
+import dev.jackdawdale.recovery.TaskRecoveryState
+import dev.jackdawdale.routing.RoutingState
+
+/**
+ * One pass of the control thread: the inputs decided together. Events change its state at once;
+ * what leaves the process waits in [effects] until the events are committed.
+ */
+internal class Pass(
+    state: CellState,
+    soft: SoftState,
+    /** Leader's time of the whole pass, milliseconds since the epoch. */
+    val nowMs: Long
+) {
+    var state: CellState = state
+        private set
+
+    var soft: SoftState = soft
+
+    private val emitted = mutableListOf<Event>()
+    private val completed = mutableListOf<WorkRecord>()
+    private val deferred = mutableListOf<() -> Unit>()
+
+    val events: List<Event> get() = emitted
+    val records: List<WorkRecord> get() = completed
+    val effects: List<() -> Unit> get() = deferred
+
+    fun emit(event: Event) {
+        val before = state
+        before.recordCompletedBy(event, nowMs)?.let(completed::add)
+        state = before.apply(event, nowMs)
+        soft = soft.observe(event, before, state, nowMs)
+        emitted += event
+    }
+
+    fun emitAll(events: List<Event>) = events.forEach(::emit)
+
+    fun replaceRouting(routing: RoutingState) {
+        soft = soft.copy(routing = routing)
+    }
+
+    fun replacePlacement(placement: PlacementState) {
+        soft = soft.copy(placement = placement)
+    }
+
+    fun replaceTasks(tasks: TaskRecoveryState) {
+        soft = soft.copy(tasks = tasks)
+    }
+
+    /** Runs [effect] on the control thread once everything decided so far is durable. */
+    fun whenDurable(effect: () -> Unit) {
+        deferred += effect
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/control/PollAnswers.kt
@@ -0,0 +1,44 @@
+package dev.jackdawdale.control
+
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.WorkerId
+import dev.jackdawdale.recovery.ordersFor
+import dev.jackdawdale.wire.ControlMessage
+import dev.jackdawdale.wire.Reply
+
+/**
+ * Answers the polls of workers. A poll without an order is held until there is one or its time is
+ * up.
+ *
+ * @param leaseGranted told when an answer that renews a worker's lease leaves the process
+ */
+internal class PollAnswers(
+    private val settings: ControlSettings,
+    private val committed: () -> CellState,
+    private val nowMs: () -> Long,
+    private val leaseGranted: (WorkerId) -> Unit
+) {
+    private val held = WorkerPolls()
+
+    fun clear() = held.clear()
+
+    fun answerOrHold(poll: WorkerPoll) {
+        val orders = ordersFor(committed(), poll.workerId, poll.running)
+        val mayWait = orders.isEmpty() && poll.acknowledged.isEmpty() && nowMs() < poll.untilMs
+        if (mayWait) held.hold(poll) else answer(poll)
+    }
+
+    /** Answers the held poll of a worker if there is an order for it now. */
+    fun recheck(workerId: WorkerId) {
+        held.take(workerId)?.let(::answerOrHold)
+    }
+
+    fun answerDue() = held.takeDue(nowMs()).forEach(::answer)
+
+    private fun answer(poll: WorkerPoll) {
+        val orders = ordersFor(committed(), poll.workerId, poll.running)
+        leaseGranted(poll.workerId)
+        val reply = Reply.WorkerOrders(orders, settings.leaseMs, poll.acknowledged)
+        poll.link.send(ControlMessage.ReplyTo(poll.callId, reply))
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/control/ReplicatedLog.kt
@@ -0,0 +1,45 @@
+package dev.jackdawdale.control
+
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.WorkRecord
+import dev.jackdawdale.wire.Query
+import dev.jackdawdale.wire.ReplicaView
+import dev.jackdawdale.wire.Reply
+
+/**
+ * The log as the control loop uses it. All functions are called on the control thread, and their
+ * results arrive there.
+ *
+ * @property propose appends a payload and returns its index, or null when this replica does not
+ *     lead
+ * @property confirmLeadership asks a quorum whether this replica still leads
+ */
+internal data class ReplicatedLog(
+    val propose: (payload: ByteArray, nowMs: Long) -> Long?,
+    val confirmLeadership: (nowMs: Long, onResult: (Boolean) -> Unit) -> Unit,
+    val status: () -> LogStatus
+)
+
+/**
+ * Where the log stands.
+ *
+ * @property quorumHeardAtMs last time a leader heard a quorum, including itself
+ */
+internal data class LogStatus(
+    val term: Long,
+    val commitIndex: Long,
+    val leader: HostId?,
+    val quorumHeardAtMs: Long,
+    val replicas: List<ReplicaView>
+)
+
+/**
+ * The records of ended work as the control loop uses them. Results arrive on the control thread.
+ *
+ * @property append adds records in order; a record with a known number changes nothing
+ */
+internal data class RecordAccess(
+    val append: (List<WorkRecord>) -> Unit,
+    val read: (number: Long, onResult: (WorkRecord?) -> Unit) -> Unit,
+    val search: (query: Query.Records, onResult: (Reply) -> Unit) -> Unit
+)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -0,0 +1,232 @@
+package dev.jackdawdale.host
+
+import dev.jackdawdale.control.ControlLoop
+import dev.jackdawdale.control.ControlObserver
+import dev.jackdawdale.control.LogStatus
+import dev.jackdawdale.control.RecordAccess
+import dev.jackdawdale.control.ReplicatedLog
+import dev.jackdawdale.control.SessionLink
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.raft.RaftMessage
+import dev.jackdawdale.replica.ProposeResult
+import dev.jackdawdale.replica.ReadResult
+import dev.jackdawdale.replica.Replica
+import dev.jackdawdale.replica.ReplicaCallbacks
+import dev.jackdawdale.replica.ReplicaStatus
+import dev.jackdawdale.replica.ReplicaThreads
+import dev.jackdawdale.replica.replica
+import dev.jackdawdale.settings.Settings
+import dev.jackdawdale.storage.StorageError
+import dev.jackdawdale.storage.replicaFolder
+import dev.jackdawdale.wire.ControlMessage
+import dev.jackdawdale.wire.ControlSession
+import dev.jackdawdale.wire.PeerCallbacks
+import dev.jackdawdale.wire.PeerNetwork
+import dev.jackdawdale.wire.PeerSettings
+import dev.jackdawdale.wire.ReplicaView
+import dev.jackdawdale.wire.peerNetwork
+import java.nio.file.Path
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executors
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("dev.jackdawdale.host")
+private const val TICK_MS = 20L
+private const val REACHABLE_MS = 2_000L
+private const val HANDOVER_TIMEOUT_MS = 5_000L
+private const val HANDOVER_POLL_MS = 50L
+
+/**
+ * The control role of a process: one control thread with the replica and the control loop, one
+ * thread for disk writes, one for snapshots and records.
+ *
+ * @param storageFailed called once when the disk can no longer be trusted
+ */
+internal class ControlRole(
+    settings: Settings,
+    peer: PeerSettings,
+    records: RecordAccess,
+    observer: ControlObserver,
+    private val clock: () -> Long,
+    private val storageFailed: (StorageError) -> Unit
+) : AutoCloseable {
+    private val control: ScheduledExecutorService = singleThread("control")
+    private val storageThread = singleThread("storage")
+    private val background = singleThread("snapshots")
+    private val passScheduled = AtomicBoolean()
+    private val folder = replicaFolder(dataFolder(settings))
+    private val links = HashMap<ControlSession, TransportLink>()
+
+    private val network: PeerNetwork<RaftMessage> = peerNetwork(
+        peer,
+        RaftMessage.serializer(),
+        PeerCallbacks(
+            onPeerMessage = { from, message ->
+                onControl { replica.receive(from, message, clock()) }
+            },
+            onSessionMessage = { session, message ->
+                onControl { loop.received(linkOf(session), message) }
+            },
+            onSessionClosed = { session ->
+                onControl { links.remove(session)?.let(loop::sessionClosed) }
+            }
+        )
+    )
+
+    private val loop: ControlLoop = ControlLoop(
+        hostId = settings.host.id,
+        settings = settings.forControl(),
+        log = ReplicatedLog(::propose, ::confirmLeadership, ::logStatus),
+        records = records,
+        clock = clock,
+        wakeUp = ::schedulePass,
+        observer = observer
+    )
+
+    private val replica: Replica = replica(
+        settings.forReplica(),
+        folder,
+        ReplicaCallbacks(
+            send = { to, message -> network.send(to, message) },
+            apply = loop::applyCommitted,
+            restore = { _, snapshot -> loop.restore(snapshot) },
+            capture = loop::capture,
+            becameLeader = { term ->
+                log.info("leads in term {}", term)
+                loop.becameLeader(term)
+            },
+            lostLeadership = { term ->
+                log.info("no longer leads; was leader in term {}", term)
+                loop.lostLeadership(term)
+            },
+            storageFailed = storageFailed
+        ),
+        ReplicaThreads(control, storageThread, background),
+        clock()
+    )
+
+    fun start() {
+        network.start()
+        onControl { replica.start(clock()) }
+        control.scheduleWithFixedDelay(::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
+    }
+
+    /** What the replica knows of itself, asked on the control thread. */
+    fun status(): CompletableFuture<ReplicaStatus> =
+        CompletableFuture.supplyAsync({ replica.status(clock()) }, control)
+
+    /** Hands leadership over; false when no other replica took it in time. */
+    fun handOver(): Boolean {
+        val deadlineMs = clock() + HANDOVER_TIMEOUT_MS
+        while (clock() < deadlineMs) {
+            val leads = CompletableFuture.supplyAsync(
+                {
+                    if (loop.leads) replica.transferLeadership(clock())
+                    loop.leads
+                },
+                control
+            )
+            if (!leads.get()) return true
+            Thread.sleep(HANDOVER_POLL_MS)
+        }
+        return false
+    }
+
+    override fun close() {
+        network.close()
+        CompletableFuture.runAsync(replica::stop, control).get()
+        control.shutdown()
+        listOf(storageThread, background).forEach { executor ->
+            executor.shutdown()
+            executor.awaitTermination(HANDOVER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        }
+        folder.close()
+    }
+
+    private fun tick() = guarded {
+        replica.tick(clock())
+        loop.runPass()
+    }
+
+    private fun schedulePass() {
+        if (!passScheduled.compareAndSet(false, true)) return
+        onControl {
+            passScheduled.set(false)
+            loop.runPass()
+        }
+    }
+
+    private fun onControl(action: () -> Unit) {
+        try {
+            control.execute { guarded(action) }
+        } catch (e: RejectedExecutionException) {
+            log.debug("the control thread has stopped: {}", e.message)
+        }
+    }
+
+    /** A fault in one action must not end the control thread's timer without a trace. */
+    private fun guarded(action: () -> Unit) {
+        try {
+            action()
+        } catch (e: RuntimeException) {
+            log.error("the control thread failed; the process stops", e)
+            Runtime.getRuntime().halt(FAULT_EXIT_CODE)
+        }
+    }
+
+    private fun linkOf(session: ControlSession): TransportLink =
+        links.getOrPut(session) { TransportLink(session) }
+
+    private fun propose(payload: ByteArray, nowMs: Long): Long? =
+        when (val result = replica.propose(payload, nowMs)) {
+            is ProposeResult.Appended -> result.index
+            is ProposeResult.NotLeader -> null
+        }
+
+    private fun confirmLeadership(nowMs: Long, onResult: (Boolean) -> Unit) =
+        replica.read(nowMs) { onResult(it is ReadResult.Ready) }
+
+    private fun logStatus(): LogStatus {
+        val nowMs = clock()
+        val status = replica.status(nowMs)
+        return LogStatus(
+            term = status.term,
+            commitIndex = status.commitIndex,
+            leader = status.leader,
+            quorumHeardAtMs = status.quorumHeardAtMs ?: 0,
+            replicas = status.members.map {
+                ReplicaView(
+                    it.replicaId.value,
+                    it.hostId,
+                    it.voter,
+                    it.matchIndex ?: 0,
+                    nowMs - (it.lastHeardMs ?: 0) < REACHABLE_MS
+                )
+            }
+        )
+    }
+
+    private companion object {
+        const val FAULT_EXIT_CODE = 70
+    }
+}
+
+private class TransportLink(private val session: ControlSession) : SessionLink {
+    override val hostId: HostId get() = session.hostId
+
+    override fun send(message: ControlMessage) {
+        session.send(message)
+    }
+
+    override fun close() = session.close()
+}
+
+private fun dataFolder(settings: Settings): Path =
+    requireNotNull(settings.control.dataFolder) { "the control role needs a data folder" }
+
+internal fun singleThread(name: String): ScheduledExecutorService =
+    Executors.newSingleThreadScheduledExecutor { Thread(it, name) }
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
@@ -0,0 +1,95 @@
+package dev.jackdawdale.host
+
+import dev.jackdawdale.control.ControlObserver
+import dev.jackdawdale.control.RecordAccess
+import dev.jackdawdale.entry.CustomerTokens
+import dev.jackdawdale.entry.EntryHost
+import dev.jackdawdale.entry.HttpServer
+import dev.jackdawdale.entry.Route
+import dev.jackdawdale.entry.entryHost
+import dev.jackdawdale.entry.httpServer
+import dev.jackdawdale.entry.processRoutes
+import dev.jackdawdale.settings.Role
+import dev.jackdawdale.settings.Settings
+import dev.jackdawdale.settings.hasRole
+import dev.jackdawdale.storage.StorageError
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import java.util.concurrent.TimeUnit
+import kotlinx.coroutines.runBlocking
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("dev.jackdawdale.host")
+private const val STATUS_TIMEOUT_MS = 1_000L
+private const val STORAGE_EXIT_CODE = 74
+
+/** One process of the system with the roles that its settings name. */
+internal class HostProcess(private val settings: Settings, records: RecordAccess) {
+    private val clock = steadyClock()
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+
+    // The wall clock at the start orders the incarnations of a host; a restart within the same
+    // millisecond is not possible.
+    private val incarnation = System.currentTimeMillis()
+    private val clusterKey = settings.readClusterKey()
+
+    private val control: ControlRole? = if (settings.hasRole(Role.CONTROL)) {
+        val peer = settings.forPeers(settings.control.replicas, incarnation, clusterKey)
+        ControlRole(settings, peer, records, ControlObserver(), clock, ::storageFailed)
+    } else {
+        null
+    }
+
+    private val entry: EntryHost? = if (settings.hasRole(Role.ENTRY)) {
+        val peer = settings.forPeers(settings.controlHosts(), incarnation, clusterKey)
+        entryHost(settings.forEntry(), peer, registry)
+    } else {
+        null
+    }
+
+    @Volatile
+    private var stopping = false
+
+    private val http: HttpServer = httpServer(settings.forHttp(), routes()) { customerId ->
+        entry?.customerTokens(customerId) ?: CustomerTokens.Stale
+    }
+
+    fun start() {
+        control?.start()
+        entry?.start()
+        http.start()
+        log.info("host {} runs the roles {}", settings.host.id, settings.host.roles)
+    }
+
+    /** Stops after the work in flight is done and leadership is handed over. */
+    fun stop() {
+        stopping = true
+        log.info("stops: finishes work in flight")
+        entry?.let { runBlocking { it.awaitDrained() } }
+        control?.handOver()
+        http.close()
+        entry?.close()
+        control?.close()
+        log.info("stopped")
+    }
+
+    private fun routes(): List<Route> = entry?.routes.orEmpty() +
+        processRoutes(registry, ::notReadyBecause) { "[]" }
+
+    private fun notReadyBecause(): String? = when {
+        stopping -> "stopping"
+        entry != null -> entry.notReadyBecause()
+        else -> controlNotReadyBecause()
+    }
+
+    private fun controlNotReadyBecause(): String? {
+        val status = control?.status()?.get(STATUS_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        return if (status?.leader == null) "no leader is known" else null
+    }
+
+    /** Nothing that the disk holds can be trusted any more; a restart reads what is durable. */
+    private fun storageFailed(error: StorageError) {
+        log.error("storage failed, the process stops: {}", error)
+        Runtime.getRuntime().halt(STORAGE_EXIT_CODE)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/host/RunHost.kt
@@ -0,0 +1,13 @@
+package dev.jackdawdale.host
+
+import dev.jackdawdale.cli.ExitCode
+import dev.jackdawdale.cli.runUntilStopped
+import dev.jackdawdale.settings.Settings
+
+/** Runs a process of the system until SIGTERM; the exit status of the command. */
+internal fun runHost(settings: Settings): Int {
+    val process = HostProcess(settings, memoryRecords())
+    process.start()
+    runUntilStopped(process::stop)
+    return ExitCode.OK
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/membership/EndpointDecisions.kt
@@ -0,0 +1,53 @@
+package dev.jackdawdale.membership
+
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.EndpointId
+import dev.jackdawdale.model.EndpointInfo
+import dev.jackdawdale.model.EndpointPhase
+import dev.jackdawdale.model.Event
+
+/**
+ * Decides what an endpoint's announcement changes. An announcement of an older incarnation
+ * changes nothing: it was delayed on its way.
+ */
+internal fun decideEndpointAnnouncement(
+    state: CellState,
+    info: EndpointInfo,
+    leaving: Boolean
+): List<Event> {
+    val known = state.endpoints[info.endpointId]
+    if (known == null) return if (leaving) emptyList() else listOf(Event.EndpointJoined(info))
+    if (info.incarnation < known.info.incarnation) return emptyList()
+    val restarted = info.incarnation > known.info.incarnation
+    val joined = if (known.info == info) emptyList() else listOf(Event.EndpointJoined(info))
+    val present = if (restarted) restartPhase(known.phase) else known.phase
+    return joined + phaseChange(info, present, phaseAfter(present, leaving))
+}
+
+private fun restartPhase(phase: EndpointPhase): EndpointPhase =
+    if (phase == EndpointPhase.STOPPED) EndpointPhase.STOPPED else EndpointPhase.ACTIVE
+
+private fun phaseAfter(phase: EndpointPhase, leaving: Boolean): EndpointPhase = when {
+    leaving && phase != EndpointPhase.STOPPED -> EndpointPhase.DRAINING
+    phase == EndpointPhase.GONE -> EndpointPhase.ACTIVE
+    else -> phase
+}
+
+private fun phaseChange(info: EndpointInfo, from: EndpointPhase, to: EndpointPhase): List<Event> =
+    if (from == to) {
+        emptyList()
+    } else {
+        listOf(Event.EndpointPhaseChanged(info.endpointId, info.incarnation, to))
+    }
+
+/** Endpoints not heard since [heardBeforeMs] get no new work. */
+internal fun decideSilentEndpoints(
+    state: CellState,
+    lastHeardMs: Map<EndpointId, Long>,
+    heardBeforeMs: Long
+): List<Event> = state.endpoints.values
+    .filter { it.phase != EndpointPhase.GONE && it.phase != EndpointPhase.STOPPED }
+    .filter { (lastHeardMs[it.info.endpointId] ?: Long.MIN_VALUE) < heardBeforeMs }
+    .map {
+        Event.EndpointPhaseChanged(it.info.endpointId, it.info.incarnation, EndpointPhase.GONE)
+    }
--- a/src/main/kotlin/dev/jackdawdale/model/Applied.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/Applied.kt
@@ -14,7 +14,7 @@
         state.recordCompletedBy(event, batch.atMs)?.let(records::add)
         state = state.apply(event, batch.atMs)
     }
-    return Applied(state, records)
+    return Applied(state.copy(lastBatchMs = batch.atMs), records)
 }
 
 /**
--- a/src/main/kotlin/dev/jackdawdale/model/CellCodec.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/CellCodec.kt
@@ -59,7 +59,8 @@
     val endpoints: List<EndpointSnapshot>,
     val entryHosts: List<EntryHost>,
     val nextToken: FencingToken,
-    val nextRecordNumber: Long
+    val nextRecordNumber: Long,
+    val lastBatchMs: Long
 )
 
 @Serializable
@@ -93,7 +94,8 @@
     },
     entryHosts = entryHosts.values.toList(),
     nextToken = nextToken,
-    nextRecordNumber = nextRecordNumber
+    nextRecordNumber = nextRecordNumber,
+    lastBatchMs = lastBatchMs
 )
 
 private fun CellSnapshot.toState() = CellState(
@@ -113,5 +115,6 @@
     }.toPersistentHashMap(),
     entryHosts = entryHosts.associateBy { it.hostId }.toPersistentHashMap(),
     nextToken = nextToken,
-    nextRecordNumber = nextRecordNumber
+    nextRecordNumber = nextRecordNumber,
+    lastBatchMs = lastBatchMs
 )
--- a/src/main/kotlin/dev/jackdawdale/model/CellState.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/CellState.kt
@@ -15,6 +15,7 @@
  * @property changes operators' changes within the dedup window, oldest first
  * @property nextToken the next fencing token
  * @property nextRecordNumber number of the next record of ended work, from 0
+ * @property lastBatchMs leader's time of the last batch; a new leader's time starts no earlier
  */
 data class CellState(
     val contracts: PersistentMap<CustomerId, Contract> = persistentHashMapOf(),
@@ -28,7 +29,8 @@
     val endpoints: PersistentMap<EndpointId, Endpoint> = persistentHashMapOf(),
     val entryHosts: PersistentMap<HostId, EntryHost> = persistentHashMapOf(),
     val nextToken: FencingToken = FencingToken(1),
-    val nextRecordNumber: Long = 0
+    val nextRecordNumber: Long = 0,
+    val lastBatchMs: Long = 0
 )
 
 /** The tasks of [job] in order of their index. */
--- a/src/main/kotlin/dev/jackdawdale/model/Event.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/Event.kt
@@ -28,19 +28,32 @@
         val expiresAtMs: Long
     ) : Event
 
-    /** Proof that the attempt [token] never reached its endpoint: the request waits again. */
+    /**
+     * Proof that the attempt [token] never reached its endpoint: the request waits again.
+     *
+     * @property endpointFailed whether the endpoint, rather than the system, was the cause
+     */
     @Serializable
     @SerialName("requestNotSent")
-    data class RequestNotSent(val workId: WorkId, val token: FencingToken) : Event
+    data class RequestNotSent(
+        val workId: WorkId,
+        val token: FencingToken,
+        val endpointFailed: Boolean = true
+    ) : Event
 
-    /** The attempt [token] of an idempotent request failed: the request waits again. */
+    /**
+     * The attempt [token] of an idempotent request failed: the request waits again.
+     *
+     * @property endpointFailed whether the endpoint, rather than the system, was the cause
+     */
     @Serializable
     @SerialName("requestRetried")
     data class RequestRetried(
         val workId: WorkId,
         val token: FencingToken,
         val notBeforeMs: Long,
-        val reason: String
+        val reason: String,
+        val endpointFailed: Boolean = true
     ) : Event
 
     /** The caller of a live request now waits at [entryHostId]. */
--- a/src/main/kotlin/dev/jackdawdale/model/RecordCompletion.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/RecordCompletion.kt
@@ -35,5 +35,6 @@
         acceptedAtMs = job.acceptedAtMs,
         endedAtMs = atMs,
         outcome = event.outcome,
-        attempts = tasksOf(job).sumOf { it.attempts }
+        attempts = tasksOf(job).sumOf { it.attempts },
+        tasksSucceeded = job.succeededTasks
     )
--- a/src/main/kotlin/dev/jackdawdale/model/WorkRecord.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/WorkRecord.kt
@@ -15,12 +15,20 @@
     data class Job(val spec: JobSpec) : Asked
 }
 
+/** The work item that was asked for. */
+val Asked.workId: WorkId
+    get() = when (this) {
+        is Asked.Request -> spec.workId
+        is Asked.Job -> spec.workId
+    }
+
 /**
  * The permanent record of one work item: what was asked, under which terms, what became of it.
  *
  * @property number position in the sequence of all records of the cell, from 0
  * @property contractVersion version of the contract under which it was accepted
  * @property attempts placements that may have reached an endpoint or worker
+ * @property tasksSucceeded tasks of a job that ended with success
  * @property lastPlacedAt endpoint id of the last attempt of a request, or null
  */
 @Serializable
@@ -34,6 +42,7 @@
     val endedAtMs: Long,
     val outcome: Outcome,
     val attempts: Int,
+    val tasksSucceeded: Int = 0,
     val lastPlacedAt: String? = null,
     val answer: Answer? = null
 )
--- a/src/main/kotlin/dev/jackdawdale/recovery/AttemptDecisions.kt
+++ b/src/main/kotlin/dev/jackdawdale/recovery/AttemptDecisions.kt
@@ -55,9 +55,10 @@
         when {
             placement.entryIncarnation < incarnation ->
                 broken(current, work, placement, "entry host $hostId restarted", nowMs)
+                    .withoutBlame()
             placement.entryIncarnation > incarnation -> null
             placement.token in heldTokens -> null
-            else -> notSent(work, placement)
+            else -> notSent(work, placement).withoutBlame()
         }
     }
 }
@@ -73,7 +74,7 @@
     if (placement.entryIncarnation > incarnation) {
         null
     } else {
-        broken(current, work, placement, "entry host $hostId was lost", nowMs)
+        broken(current, work, placement, "entry host $hostId was lost", nowMs).withoutBlame()
     }
 }
 
@@ -99,6 +100,13 @@
     return events
 }
 
+/** The event of an attempt that failed on the system's side: its endpoint gets work as before. */
+private fun Event.withoutBlame(): Event = when (this) {
+    is Event.RequestNotSent -> copy(endpointFailed = false)
+    is Event.RequestRetried -> copy(endpointFailed = false)
+    else -> this
+}
+
 private const val HTTP_SERVER_ERROR = 500
 private const val HTTP_UNAVAILABLE = 503
 
--- a/src/main/kotlin/dev/jackdawdale/routing/RoutingObserve.kt
+++ b/src/main/kotlin/dev/jackdawdale/routing/RoutingObserve.kt
@@ -21,8 +21,10 @@
     is Event.RequestAccepted ->
         after.requests[event.spec.workId]?.let { enqueued(it, nowMs) } ?: this
     is Event.RequestPlaced -> requestPlaced(event.workId, before, after)
-    is Event.RequestNotSent -> attemptEnded(event.workId, before, after, AttemptSign.BAD, nowMs)
-    is Event.RequestRetried -> attemptEnded(event.workId, before, after, AttemptSign.BAD, nowMs)
+    is Event.RequestNotSent ->
+        attemptEnded(event.workId, before, after, failureSign(event.endpointFailed), nowMs)
+    is Event.RequestRetried ->
+        attemptEnded(event.workId, before, after, failureSign(event.endpointFailed), nowMs)
     is Event.RequestEnded -> requestEnded(event, before, after, nowMs)
     is Event.ContractChanged -> withLimit(event.contract)
     is Event.EndpointJoined -> endpointChanged(event.info.endpointId, before, after)
@@ -33,6 +35,9 @@
 /** What the end of an attempt says about its endpoint. */
 private enum class AttemptSign { GOOD, BAD, NONE }
 
+private fun failureSign(endpointFailed: Boolean): AttemptSign =
+    if (endpointFailed) AttemptSign.BAD else AttemptSign.NONE
+
 private fun RoutingState.requestPlaced(
     workId: WorkId,
     before: CellState,
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/control/ControlLoopTest.kt
@@ -0,0 +1,171 @@
+package dev.jackdawdale.control
+
+import dev.jackdawdale.model.Answer
+import dev.jackdawdale.model.AttemptResult
+import dev.jackdawdale.model.HeldAttempt
+import dev.jackdawdale.model.Outcome
+import dev.jackdawdale.model.Refusal
+import dev.jackdawdale.model.WorkId
+import dev.jackdawdale.model.blob
+import dev.jackdawdale.model.sampleWorker
+import dev.jackdawdale.wire.Command
+import dev.jackdawdale.wire.ControlMessage
+import dev.jackdawdale.wire.EntryMessage
+import dev.jackdawdale.wire.Reply
+import dev.jackdawdale.wire.WorkStage
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+
+private val answer = Answer(200, "text/plain", blob("plan"))
+
+private fun FakeCell.finish(link: FakeLink, dispatch: ControlMessage.Dispatch) = loop.received(
+    link,
+    EntryMessage.AttemptFinished(
+        dispatch.workId,
+        dispatch.token,
+        AttemptResult.Answered(answer),
+        runTimeMs = 5
+    )
+)
+
+class ControlLoopTest :
+    FunSpec({
+        test("no dispatch and no reply leave before the decision is durable") {
+            val cell = FakeCell()
+            val link = cell.ready()
+            cell.call(link, 10, submit("r1"))
+            cell.decide()
+            link.sentOf<ControlMessage.Dispatch>().shouldBeEmpty()
+            link.replyTo(10) shouldBe null
+            cell.commit()
+            link.sentOf<ControlMessage.Dispatch>() shouldHaveSize 1
+            link.replyTo(10).shouldBeInstanceOf<Reply.Work>()
+        }
+
+        test("a leader that lost its office answers nothing that was not committed") {
+            val cell = FakeCell()
+            val link = cell.ready()
+            cell.call(link, 10, submit("r1"))
+            cell.decide()
+            cell.loop.lostLeadership(2)
+            link.replyTo(10) shouldBe null
+            link.closed shouldBe true
+        }
+
+        test("the answer reaches the caller's host only after the end is durable") {
+            val cell = FakeCell()
+            val link = cell.ready()
+            cell.call(link, 10, submit("r1"))
+            cell.settle()
+            cell.finish(link, link.sentOf<ControlMessage.Dispatch>().single())
+            cell.decide()
+            link.sentOf<ControlMessage.RequestEnded>().shouldBeEmpty()
+            cell.commit()
+            val ended = link.sentOf<ControlMessage.RequestEnded>().single()
+            ended shouldBe
+                ControlMessage.RequestEnded(WorkId("acme/r1"), Outcome.Succeeded, answer)
+            cell.records.map { it.workId to it.answer } shouldBe
+                listOf(WorkId("acme/r1") to answer)
+        }
+
+        test("a resend at another entry host meets the same work and runs nothing again") {
+            val cell = FakeCell()
+            val first = cell.ready()
+            val second = cell.openSession("e2")
+            cell.call(first, 10, submit("r1"))
+            cell.settle()
+            cell.call(second, 11, submit("r1"))
+            cell.settle()
+            second.sentOf<ControlMessage.Dispatch>().shouldBeEmpty()
+            cell.finish(first, first.sentOf<ControlMessage.Dispatch>().single())
+            cell.settle()
+            second.sentOf<ControlMessage.RequestEnded>() shouldHaveSize 1
+            cell.call(second, 12, submit("r1"))
+            cell.settle()
+            val status = second.replyTo(12).shouldBeInstanceOf<Reply.Work>().status
+            status.stage shouldBe WorkStage.ENDED
+            status.answer shouldBe answer
+        }
+
+        test("a request id reused for other work is refused, before and after its end") {
+            val cell = FakeCell()
+            val link = cell.ready()
+            val refused = Reply.Refused(Refusal.RequestIdReused(WorkId("acme/r1")))
+            cell.call(link, 10, submit("r1"))
+            cell.settle()
+            cell.call(link, 11, submit("r1", body = "other"))
+            cell.settle()
+            link.replyTo(11) shouldBe refused
+            cell.finish(link, link.sentOf<ControlMessage.Dispatch>().single())
+            cell.settle()
+            cell.call(link, 12, submit("r1", body = "other"))
+            cell.settle()
+            link.replyTo(12) shouldBe refused
+        }
+
+        test("a placement taken back before its commit is never dispatched") {
+            val cell = FakeCell()
+            val link = cell.ready()
+            cell.call(link, 10, submit("r1"))
+            cell.decide()
+            val reopened = cell.openSession("e1")
+            cell.decide()
+            cell.settle()
+            val dispatches = link.sentOf<ControlMessage.Dispatch>() +
+                reopened.sentOf<ControlMessage.Dispatch>()
+            dispatches shouldHaveSize 1
+            cell.loop.committed.requests[WorkId("acme/r1")]?.placement?.token shouldBe
+                dispatches.single().token
+        }
+
+        test("a new leader keeps an attempt that its entry host still holds") {
+            val cell = FakeCell()
+            val link = cell.ready()
+            cell.call(link, 10, submit("r1"))
+            cell.settle()
+            val dispatch = link.sentOf<ControlMessage.Dispatch>().single()
+            cell.loop.lostLeadership(2)
+            cell.loop.becameLeader(3)
+            val held = listOf(HeldAttempt(dispatch.workId, dispatch.token))
+            val reopened = cell.openSession("e1", held = held)
+            cell.settle()
+            reopened.sentOf<ControlMessage.Dispatch>().shouldBeEmpty()
+            cell.loop.committed.requests[WorkId("acme/r1")]?.placement?.token shouldBe
+                dispatch.token
+        }
+
+        test("a non-idempotent request on a lost entry host ends as may have run") {
+            val cell = FakeCell()
+            val link = cell.ready()
+            val other = cell.openSession("e2")
+            cell.call(link, 10, submit("r1"))
+            cell.settle()
+            cell.loop.sessionClosed(link)
+            repeat(50) {
+                cell.nowMs += 100
+                cell.loop.received(other, EntryMessage.SessionHeartbeat(draining = false))
+                cell.settle()
+            }
+            other.sentOf<ControlMessage.Dispatch>().shouldBeEmpty()
+            cell.records.single().outcome.shouldBeInstanceOf<Outcome.MayHaveRun>()
+        }
+
+        test("a worker's poll is held until its task is durable, then answered at once") {
+            val cell = FakeCell()
+            val link = cell.ready()
+            val info = sampleWorker("w1")
+            val announce =
+                Command.AnnounceWorker(info, false, emptyList(), emptyList(), pollMs = 1_000)
+            cell.call(link, 20, announce)
+            cell.settle()
+            link.replyTo(20) shouldBe null
+            cell.call(link, 21, Command.SubmitJob(dev.jackdawdale.model.sampleJob("acme", "j1")))
+            cell.decide()
+            link.replyTo(20) shouldBe null
+            cell.commit()
+            link.replyTo(20).shouldBeInstanceOf<Reply.WorkerOrders>().orders shouldHaveSize 1
+        }
+    })
