--- a/src/main/kotlin/dev/jackdawdale/routing/RoutingQueues.kt
+++ b/src/main/kotlin/dev/jackdawdale/routing/RoutingQueues.kt
@@ -83,14 +83,11 @@
 /** The request waits from now on. */
 internal fun RoutingState.enqueued(work: RequestWork, nowMs: Long): RoutingState {
     val key = work.waitingKey
-    val known = group(work.spec.runTimeKey)
-    val declared = known.copy(declaredMs = work.spec.declaredRunTimeMs)
-    val group = declared.classified(work.spec.runTimeKey, runTimes, settings)
     val standing =
         if (work.notBeforeMs > nowMs) Standing.Paused(work.notBeforeMs) else Standing.Queued
+    val declaredMs = work.spec.declaredRunTimeMs
     return copy(deadlines = deadlines + Timed(work.spec.deadlineMs, key.workId))
-        .withGroup(work.spec.runTimeKey, group)
-        .placedIn(WaitingWork(work.spec.runTimeKey, key, standing))
+        .placedIn(WaitingWork(work.spec.runTimeKey, key, declaredMs, standing))
 }
 
 /** The request waits no more: it is placed or has ended. */
@@ -114,7 +111,11 @@
     return when (work.standing) {
         Standing.Queued -> {
             val group = known.group(work.group)
-            known.withGroup(work.group, group.copy(waiting = group.waiting + work.key))
+            val joined = group.copy(
+                waiting = group.waiting + work.key,
+                declaredMs = work.declaredMs
+            )
+            known.withGroup(work.group, joined.classified(work.group, runTimes, settings))
         }
         is Standing.Paused ->
             known.copy(pauses = pauses + Timed(work.standing.untilMs, work.key.workId))
--- a/src/main/kotlin/dev/jackdawdale/routing/RoutingState.kt
+++ b/src/main/kotlin/dev/jackdawdale/routing/RoutingState.kt
@@ -32,7 +32,13 @@
     data object Late : Standing
 }
 
-internal data class WaitingWork(val group: RunTimeKey, val key: WaitingKey, val standing: Standing)
+/** @property declaredMs run time that its caller declared, or null */
+internal data class WaitingWork(
+    val group: RunTimeKey,
+    val key: WaitingKey,
+    val declaredMs: Long?,
+    val standing: Standing
+)
 
 /**
  * A placed request.
