--- a/src/main/kotlin/dev/jackdawdale/bench/LoopbackLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/LoopbackLeader.kt
@@ -49,6 +49,7 @@
         Thread(task, "loopback-leader").apply { isDaemon = true }
     }
     private val nextToken = AtomicLong(1)
+    private val known = ConcurrentHashMap.newKeySet<WorkId>()
     private val ended = ConcurrentHashMap<WorkId, ControlMessage.RequestEnded>()
 
     val sessions = CopyOnWriteArrayList<ControlSession>()
@@ -160,12 +161,12 @@
         session.send(end)
     }
 
-    /** Accepts any request and sends it to the endpoint; a resend of ended work gets its end. */
+    /** Accepts any request and sends it to the endpoint; a resend meets the same work. */
     fun acceptAndDispatch(session: ControlSession, command: Command): Reply {
         if (command !is Command.SubmitRequest) return Reply.Done
-        val end = ended[command.workId]
-        if (end == null) session.send(dispatchOf(command))
-        return Reply.Work(statusOf(command.workId, end))
+        val isNew = !keepsCalls || known.add(command.workId)
+        if (isNew) session.send(dispatchOf(command))
+        return Reply.Work(statusOf(command.workId, ended[command.workId]))
     }
 
     fun statusOf(workId: WorkId, end: ControlMessage.RequestEnded? = null): WorkStatus = WorkStatus(
--- a/src/main/kotlin/dev/jackdawdale/entry/EndpointConnection.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/EndpointConnection.kt
@@ -26,6 +26,7 @@
  */
 internal class EndpointConnection(
     private val settings: EntrySettings,
+    private val decoder: AnswerDecoder,
     private val release: (Exchange, Channel) -> Unit
 ) : ChannelInboundHandlerAdapter() {
     private var exchange: Exchange? = null
@@ -58,6 +59,7 @@
         )
         val request = next.request(nowNanos)
         next.written = true
+        decoder.expecting = true
         channel.writeAndFlush(request).addListener { written ->
             if (!written.isSuccess) fail(channel, "write failed: ${written.cause().message}")
         }
@@ -72,6 +74,7 @@
     }
 
     private fun receive(ctx: ChannelHandlerContext, message: HttpObject) {
+        // What is decoded after the end of an answer belongs to no request.
         if (exchange == null) {
             ctx.close()
             return
@@ -110,7 +113,7 @@
         val type = answerHead.headers()[HttpHeaderNames.CONTENT_TYPE] ?: DEFAULT_TYPE
         val answer = Answer(answerHead.status().code(), type, Blob(ByteBufUtil.getBytes(body)))
         reset()
-        if (HttpUtil.isKeepAlive(answerHead)) {
+        if (HttpUtil.isKeepAlive(answerHead) && !decoder.hasSurplus) {
             park(ctx.channel(), ended)
         } else {
             ctx.close()
@@ -145,6 +148,7 @@
         timer?.cancel(false)
         timer = null
         exchange = null
+        decoder.expecting = false
         head = null
         if (body !== Unpooled.EMPTY_BUFFER) body.release()
         body = Unpooled.EMPTY_BUFFER
--- a/src/main/kotlin/dev/jackdawdale/entry/EndpointPools.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/EndpointPools.kt
@@ -9,8 +9,8 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.util.NetUtil
 import java.net.InetAddress
 import java.net.InetSocketAddress
@@ -61,9 +61,11 @@
                     .setMaxInitialLineLength(MAX_HEADER_BYTES)
                     .setMaxHeaderSize(MAX_HEADER_BYTES)
                     .setMaxChunkSize(CHUNK_BYTES)
+                val decoder = AnswerDecoder(decoding)
                 channel.pipeline()
-                    .addLast(HttpClientCodec(decoding, false, true))
-                    .addLast(EndpointConnection(settings, ::release))
+                    .addLast(decoder)
+                    .addLast(HttpRequestEncoder())
+                    .addLast(EndpointConnection(settings, decoder, ::release))
             }
         })
 
--- a/src/main/kotlin/dev/jackdawdale/entry/EntryHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/EntryHost.kt
@@ -1,6 +1,7 @@
 package dev.jackdawdale.entry
 
 import dev.jackdawdale.model.CustomerId
+import dev.jackdawdale.model.HeldAttempt
 import dev.jackdawdale.wire.ControlClient
 import dev.jackdawdale.wire.ControlClientCallbacks
 import dev.jackdawdale.wire.ControlMessage
@@ -75,6 +76,11 @@
         else -> null
     }
 
+    /** Attempts in flight and finished ones that the leader has not acknowledged. */
+    internal fun heldAttempts(): List<HeldAttempt> = dispatcher.held()
+
+    internal val isDispatcherIdle: Boolean get() = dispatcher.isIdle
+
     /** Throws [HttpError] 503 while the host may not accept new work. */
     internal fun requireNewWorkAllowed() {
         if (refusing) throw unavailable("draining", "this host is stopping")
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpConnection.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpConnection.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -18,6 +19,7 @@
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicReference
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
@@ -34,11 +36,11 @@
  * A call goes on when its client disconnects.
  */
 internal class HttpConnection(
-    private val settings: HttpSettings,
-    private val router: Router,
-    private val authenticator: Authenticator,
+    private val server: ServerContext,
+    private val account: BodyAccount,
     private val surplus: Boolean
 ) : ChannelInboundHandlerAdapter() {
+    private val settings = server.settings
     private val waiting = ArrayDeque<Any>()
     private var busy = false
     private var serving = false
@@ -93,32 +95,46 @@
     private fun serve(ctx: ChannelHandlerContext, message: Any) {
         busy = true
         deadline?.cancel(false)
-        if (message !is FullHttpRequest) {
-            val error = HttpError(
-                413,
-                "body_too_large",
-                "the body is longer than ${settings.maxBodyBytes} bytes"
-            )
+        val problem = problemOf(message)
+        if (problem != null || message !is FullHttpRequest) {
+            ReferenceCountUtil.release(message)
+            val error = problem ?: badRequest("malformed_http", "not an HTTP request")
             return respond(ctx, error.toResult(), keepAlive = false)
         }
-        val malformed = decodeProblem(message)
-        if (malformed != null) {
-            message.release()
-            return respond(ctx, malformed.toResult(), keepAlive = false)
-        }
         val keepAlive = HttpUtil.isKeepAlive(message)
         val head = message.method().name() == "HEAD"
         val request = Received(message)
         message.release()
         // Undispatched: a call that needs no reply is answered without another turn of the loop.
         scope.launch(start = CoroutineStart.UNDISPATCHED) {
-            respond(ctx, answer(request), keepAlive, head)
+            val result = answer(request)
+            account.release(request.body.size)
+            respond(ctx, result, keepAlive, head)
         }
     }
 
-    private suspend fun answer(request: Received): HttpResult = try {
-        val match = router.find(request.method, request.path)
-        val principal = authenticator.authenticate(match.route.access, request.headers)
+    private fun problemOf(message: Any): HttpError? = when (message) {
+        is FullHttpRequest -> decodeProblem(message)
+        OverBudgetRequest -> unavailable("too_many_bytes", "this host holds too many bodies")
+        else -> HttpError(
+            413,
+            "body_too_large",
+            "the body is longer than ${settings.maxBodyBytes} bytes"
+        )
+    }
+
+    private suspend fun answer(request: Received): HttpResult {
+        val startedNanos = System.nanoTime()
+        val route = AtomicReference<Route?>()
+        val result = handle(request, route::set)
+        server.metrics.record(route.get(), result.status, System.nanoTime() - startedNanos)
+        return result
+    }
+
+    private suspend fun handle(request: Received, onRoute: (Route) -> Unit): HttpResult = try {
+        val match = server.router.find(request.method, request.path)
+        onRoute(match.route)
+        val principal = server.authenticator.authenticate(match.route.access, request.headers)
         val call =
             HttpCall(principal, match.path, request.query(), request.headers, request.body)
         match.route.handle(call)
@@ -146,7 +162,7 @@
         result.headers.forEach { (name, value) -> headers[name] = value }
         headers[HttpHeaderNames.CONTENT_TYPE] = result.contentType
         headers[HttpHeaderNames.CONTENT_LENGTH] = result.body.size
-        if (keepAlive) {
+        if (keepAlive && !server.draining) {
             ctx.writeAndFlush(response)
             busy = false
             closeAfter(ctx, settings.idleTimeoutMs)
@@ -158,6 +174,13 @@
         }
     }
 
+    /** Closes the connection unless a call is under way. Safe to call from any thread. */
+    fun closeWhenIdle(channel: Channel) {
+        channel.eventLoop().execute {
+            if (!busy && waiting.isEmpty()) channel.close()
+        }
+    }
+
     private fun closeAfter(ctx: ChannelHandlerContext, timeoutMs: Long) {
         deadline?.cancel(false)
         deadline = ctx.executor().schedule({ ctx.close() }, timeoutMs, TimeUnit.MILLISECONDS)
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpServer.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpServer.kt
@@ -1,34 +1,51 @@
 package dev.jackdawdale.entry
 
 import dev.jackdawdale.model.CustomerId
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.composite.CompositeMeterRegistry
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.group.DefaultChannelGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.util.concurrent.GlobalEventExecutor
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.delay
 
 private const val BACKLOG = 1_024
 private const val CLOSE_TIMEOUT_MS = 2_000L
+private const val DRAIN_POLL_MS = 20L
+private const val CHUNK_BYTES = 64 * 1024
+
+/** What all connections of a server share. */
+internal class ServerContext(
+    val settings: HttpSettings,
+    val router: Router,
+    val authenticator: Authenticator,
+    val metrics: HttpMetrics
+) {
+    val budget = BodyBudget(settings.maxBufferedBodyBytes)
+
+    /** While true each answer closes its connection. */
+    @Volatile
+    var draining = false
+}
 
 /** Serves the routes of a process over HTTP/1.1. */
-internal class HttpServer(
-    private val settings: HttpSettings,
-    routes: List<Route>,
-    customerTokens: (CustomerId) -> CustomerTokens
-) : AutoCloseable {
+internal class HttpServer(private val settings: HttpSettings, private val context: ServerContext) :
+    AutoCloseable {
     private val group =
         MultiThreadIoEventLoopGroup(settings.threads, NioIoHandler.newFactory())
-    private val authenticator = Authenticator(settings, customerTokens)
-    private val router = Router(routes)
+    private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private val openConnections = AtomicInteger()
     private var listening: Channel? = null
 
@@ -52,6 +69,22 @@
         listening = bootstrap.bind(address, settings.port).syncUninterruptibly().channel()
     }
 
+    /**
+     * Stops to listen, closes idle connections and the others after their present answer. False
+     * when calls were still under way after [timeoutMs].
+     */
+    suspend fun drain(timeoutMs: Long): Boolean {
+        context.draining = true
+        listening?.close()
+        val deadlineNanos = System.nanoTime() + timeoutMs * 1_000_000
+        while (System.nanoTime() < deadlineNanos) {
+            connections.forEach { it.pipeline()[HttpConnection::class.java]?.closeWhenIdle(it) }
+            if (connections.isEmpty()) return true
+            delay(DRAIN_POLL_MS)
+        }
+        return connections.isEmpty()
+    }
+
     override fun close() {
         listening?.close()?.syncUninterruptibly()
         group.shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
@@ -64,23 +97,33 @@
                 .setMaxInitialLineLength(settings.maxHeaderBytes)
                 .setMaxHeaderSize(settings.maxHeaderBytes)
                 .setMaxChunkSize(CHUNK_BYTES)
+            val account = BodyAccount(context.budget)
             val surplus = openConnections.incrementAndGet() > settings.maxConnections
             channel.closeFuture().addListener { openConnections.decrementAndGet() }
+            connections.add(channel)
             channel.pipeline()
                 .addLast(HttpServerCodec(decoding))
+                .addLast(account)
                 .addLast(BodyCollector(settings.maxBodyBytes))
-                .addLast(HttpConnection(settings, router, authenticator, surplus))
+                .addLast(HttpConnection(context, account, surplus))
         }
     }
 }
 
-private const val CHUNK_BYTES = 64 * 1024
-
-/** Makes the HTTP server of a process; nothing listens before [HttpServer.start]. */
+/**
+ * Makes the HTTP server of a process; nothing listens before [HttpServer.start].
+ *
+ * @param customerTokens what this process knows of a customer's tokens; without the entry role
+ * it knows nothing
+ */
 internal fun httpServer(
     settings: HttpSettings,
     routes: List<Route>,
-    customerTokens: (CustomerId) -> CustomerTokens = {
-        CustomerTokens.Stale
-    }
-): HttpServer = HttpServer(settings, routes, customerTokens)
+    customerTokens: (CustomerId) -> CustomerTokens = { CustomerTokens.Stale },
+    registry: MeterRegistry = CompositeMeterRegistry()
+): HttpServer {
+    val authenticator = Authenticator(settings, customerTokens)
+    val context =
+        ServerContext(settings, Router(routes), authenticator, HttpMetrics(registry))
+    return HttpServer(settings, context)
+}
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpSettings.kt
@@ -16,6 +16,7 @@
  *
  * @property port port to listen on; 0 takes a free one
  * @property maxBodyBytes longest request body
+ * @property maxBufferedBodyBytes sum of the bodies of all requests that are held at once
  * @property maxHeaderBytes longest sum of a request's headers, and longest request line
  * @property maxConnections open connections; one more is answered 503 and closed
  * @property idleTimeoutMs a connection on which no complete request arrives is closed after this
@@ -28,6 +29,7 @@
     val address: String = "127.0.0.1",
     val port: Int = 0,
     val maxBodyBytes: Int = 1024 * 1024,
+    val maxBufferedBodyBytes: Long = 64L * 1024 * 1024,
     val maxHeaderBytes: Int = 16 * 1024,
     val maxConnections: Int = 4_096,
     val idleTimeoutMs: Long = 60_000,
--- a/src/main/kotlin/dev/jackdawdale/entry/Json.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/Json.kt
@@ -2,6 +2,7 @@
 
 import dev.jackdawdale.model.Refusal
 import kotlinx.serialization.KSerializer
+import kotlinx.serialization.MissingFieldException
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -18,11 +19,16 @@
 }
 
 private val unknownKey = Regex("unknown key '([^']*)'")
-private val missingFields = Regex("Fields? (.+?) (?:is|are) required")
+private val capital = Regex("[A-Z]")
+
+private fun String.toSnakeCase(): String = replace(capital) { "_${it.value.lowercase()}" }
 
 /** Decodes the body of a call, or says in the error which field is wrong. */
 internal fun <T> HttpCall.decodeBody(serializer: KSerializer<T>): T = try {
     httpJson.decodeFromString(serializer, body.decodeToString(throwOnInvalidSequence = true))
+} catch (e: MissingFieldException) {
+    val names = e.missingFields.joinToString(", ") { it.toSnakeCase() }
+    throw badRequest("malformed_json", "missing fields: $names")
 } catch (e: SerializationException) {
     throw badRequest("malformed_json", problemOf(e))
 } catch (e: IllegalArgumentException) {
@@ -34,7 +40,6 @@
 private fun problemOf(e: Exception): String {
     val text = e.message.orEmpty()
     unknownKey.find(text)?.let { return "unknown field \"${it.groupValues[1]}\"" }
-    missingFields.find(text)?.let { return "missing field ${it.groupValues[1]}" }
     return text.lineSequence().first()
 }
 
--- a/src/test/kotlin/dev/jackdawdale/wire/PeerNetworkTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/wire/PeerNetworkTest.kt
@@ -8,12 +8,16 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import io.ktor.network.selector.SelectorManager
 import java.io.DataOutputStream
 import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.builtins.serializer
 
 private val sessionTypes = LinkTypes(
@@ -48,14 +52,15 @@
         weightBytes = { it.length.toLong() }
     ).apply { start() }
 
-    suspend fun dialAsEntry(selector: SelectorManager, incarnation: Long) = dial(
-        selector,
-        loopbackPeer("h1", incarnation = incarnation),
-        Role.ENTRY,
-        HostId("c1"),
-        PeerAddress("127.0.0.1", network.port),
-        sessionTypes
-    )
+    suspend fun dialAsEntry(selector: SelectorManager, incarnation: Long, silenceMs: Long = 3_000) =
+        dial(
+            selector,
+            loopbackPeer("h1", incarnation = incarnation).copy(silenceTimeoutMs = silenceMs),
+            Role.ENTRY,
+            HostId("c1"),
+            PeerAddress("127.0.0.1", network.port),
+            sessionTypes
+        )
 
     override fun close() = network.close()
 }
@@ -135,15 +140,17 @@
             ) { act ->
                 val settings = loopbackPeer("c1").copy(heartbeatMs = 50, silenceTimeoutMs = 400)
                 Recorder(settings).use { listener ->
-                    val link = listener.dialAsEntry(selector, incarnation = 1)
-                    val run = launch { link.run { Thread.sleep(60_000) } }
+                    val reading = CountDownLatch(1)
+                    val link = listener.dialAsEntry(selector, incarnation = 1, silenceMs = 600_000)
+                    val run = async(Dispatchers.IO) { link.run { reading.await() } }
                     link.send(openOf(1))
                     eventually(patience) { listener.sessions.size shouldBe 1 }
                     act(listener.sessions.single())
                     eventually(patience) { listener.events.last() shouldBe "1 closed" }
                     listener.sessions.single().send(ControlMessage.NotLeader(null)) shouldBe false
-                    run.cancel()
-                    link.close("test ends")
+                    reading.countDown()
+                    // Ends only when the socket itself was closed, also with unsent bytes in it.
+                    withTimeout(patience) { run.await() } shouldNotBe ""
                 }
             }
         }
