--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/bench/EntryChild.kt
@@ -0,0 +1,32 @@
+package dev.jackdawdale.bench
+
+import dev.jackdawdale.entry.AuthMode
+import dev.jackdawdale.entry.EntrySettings
+import dev.jackdawdale.entry.HttpSettings
+import dev.jackdawdale.entry.entryHost
+import dev.jackdawdale.entry.httpServer
+import dev.jackdawdale.entry.processRoutes
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+
+private const val READY_POLL_MS = 10L
+
+/**
+ * An entry host alone in its process, so that its processor time and memory can be measured. The
+ * argument is the port of the leader; the HTTP port is printed when the host is ready. It ends with
+ * its standard input.
+ */
+fun main(args: Array<String>) {
+    val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    val host = entryHost(EntrySettings(), loopbackPeer("h1", args.first().toInt()), registry)
+    val settings = HttpSettings(authMode = AuthMode.NONE)
+    val routes = host.routes + processRoutes(registry, host::notReadyBecause) { "[]" }
+    val server = httpServer(settings, routes, host::customerTokens, registry)
+    host.start()
+    server.start()
+    while (host.notReadyBecause() != null) Thread.sleep(READY_POLL_MS)
+    println(server.port)
+    System.`in`.read()
+    server.close()
+    host.close()
+}
