Send queued messages before a session is closed

Cause: closing a session dropped what was queued, so a NotLeader followed by a close never arrived. A refused session of an older incarnation could lose the last message of its handshake, which failed a test once under load.

Change: ControlSession.close ends the session after its queue; a peer that does not read has the silence timeout for it.

Conclusion: 50 sessions in a row deliver ten queued messages each before their close and take no message after it.

--- a/src/main/kotlin/dev/jackdawdale/wire/ControlSession.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/ControlSession.kt
@@ -12,6 +12,7 @@
     /** Queues [message]; false when the session is closed. Never blocks. */
     fun send(message: ControlMessage): Boolean
 
+    /** Ends the session after the messages queued so far; no message is delivered any more. */
     fun close()
 }
 
@@ -21,7 +22,7 @@
 
     override fun send(message: ControlMessage): Boolean = link.send(message)
 
-    override fun close() = link.close("closed by the control side")
+    override fun close() = link.closeAfterQueue("closed by the control side")
 }
 
 /**
@@ -38,7 +39,7 @@
     private val byHost = HashMap<HostId, LinkSession>()
 
     suspend fun run(session: LinkSession) {
-        if (!begin(session)) return session.link.close("a newer session of the host exists")
+        if (!begin(session)) return session.link.closeFlushed("a newer session of the host exists")
         try {
             session.link.run { message -> deliver(session, message) }
         } finally {
--- a/src/main/kotlin/dev/jackdawdale/wire/FrameLink.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/FrameLink.kt
@@ -43,6 +43,10 @@
     private val queuedMessages = AtomicInteger()
     private val queuedBytes = AtomicLong()
     private val closeReason = AtomicReference<String?>()
+    private val endReason = AtomicReference<String?>()
+
+    @Volatile
+    private var endingSinceNanos = 0L
 
     @Volatile
     private var lastFrameNanos = System.nanoTime()
@@ -52,7 +56,7 @@
 
     /** Queues [message]; false when the connection is closed or just overflowed. */
     fun send(message: O): Boolean {
-        if (closeReason.get() != null) return false
+        if (closeReason.get() != null || endReason.get() != null) return false
         val bytes = queuedBytes.addAndGet(types.weightBytes(message))
         val messages = queuedMessages.incrementAndGet()
         if (messages > settings.maxQueuedMessages || bytes > settings.maxQueuedBytes) {
@@ -62,6 +66,21 @@
         return queue.trySend(message).isSuccess
     }
 
+    /**
+     * Sends what is queued and closes then; messages that arrive meanwhile are dropped. A peer that
+     * does not read has the silence timeout for it.
+     */
+    fun closeAfterQueue(reason: String) {
+        if (!endReason.compareAndSet(null, reason)) return
+        endingSinceNanos = System.nanoTime()
+        queue.close()
+    }
+
+    /** Closes the socket when nothing is queued; what was flushed before is still sent. */
+    fun closeFlushed(reason: String) {
+        if (closeReason.compareAndSet(null, reason)) raw.close()
+    }
+
     /** Closes the socket; [run] returns soon after. Safe to call from any thread, repeatedly. */
     fun close(reason: String) {
         if (!closeReason.compareAndSet(null, reason)) return
@@ -89,7 +108,7 @@
             // After a pause of this process or of the network the messages may be long overtaken.
             if (silentMs > settings.silenceTimeoutMs) return close("silent for $silentMs ms")
             lastFrameNanos = System.nanoTime()
-            if (frame.isNotEmpty()) onMessage(decode(frame))
+            if (frame.isNotEmpty() && endReason.get() == null) onMessage(decode(frame))
         }
     }
 
@@ -109,6 +128,7 @@
             }
             raw.output.flush()
         }
+        closeFlushed(endReason.get() ?: "closed")
     }
 
     private suspend fun writeOne(message: O?) {
@@ -130,10 +150,14 @@
             queue.trySend(null)
             val silentMs = silentMs()
             if (silentMs > settings.silenceTimeoutMs) close("silent for $silentMs ms")
+            val ending = endReason.get() ?: continue
+            if (elapsedMs(endingSinceNanos) > settings.silenceTimeoutMs) close(ending)
         }
     }
 
-    private fun silentMs(): Long = (System.nanoTime() - lastFrameNanos) / 1_000_000
+    private fun silentMs(): Long = elapsedMs(lastFrameNanos)
+
+    private fun elapsedMs(sinceNanos: Long): Long = (System.nanoTime() - sinceNanos) / 1_000_000
 
     private suspend fun closingOnFailure(block: suspend () -> Unit) {
         try {
--- a/src/test/kotlin/dev/jackdawdale/wire/PeerNetworkTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/wire/PeerNetworkTest.kt
@@ -155,6 +155,27 @@
             }
         }
 
+        test("messages queued before a close arrive, and none is taken after it") {
+            Recorder().use { listener ->
+                repeat(50) { round ->
+                    val link = listener.dialAsEntry(selector, incarnation = round.toLong())
+                    val received = CopyOnWriteArrayList<ControlMessage>()
+                    val run = async(Dispatchers.IO) { link.run { received += it } }
+                    link.send(openOf(1))
+                    eventually(patience) { listener.sessions.size shouldBe round + 1 }
+                    val session = listener.sessions.last()
+                    repeat(10) { session.send(ControlMessage.NotLeader(HostId("c$it"))) }
+                    session.close()
+                    session.send(ControlMessage.NotLeader(null)) shouldBe false
+                    link.send(EntryMessage.SessionHeartbeat(false))
+                    withTimeout(patience) { run.await() }
+                    received.size shouldBe 10
+                    eventually(patience) { listener.events.last() shouldBe "$round closed" }
+                }
+                listener.events.none { "Heartbeat" in it } shouldBe true
+            }
+        }
+
         test("a control host that accepts and then says nothing does not hold the caller up") {
             ServerSocket(0).use { deaf ->
                 val settings = loopbackPeer("h1", deaf.localPort).copy(handshakeTimeoutMs = 200)
