--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/timeline/MergedTimeline.kt
@@ -0,0 +1,28 @@
+package dev.jackdawdale.timeline
+
+/** What one process answered when it was asked for its events. */
+internal sealed interface HostAnswer {
+    data class Reached(val timeline: HostTimeline) : HostAnswer
+
+    data class Unreached(val host: String, val reason: String) : HostAnswer
+}
+
+/**
+ * Events of several processes in causal order.
+ *
+ * @property gaps what may be missing and why: processes not reached, events overwritten
+ */
+internal data class MergedTimeline(val events: List<TimelineEvent>, val gaps: List<String>)
+
+/** Merges the events of processes; each event is after all events that caused it. */
+internal fun mergeTimelines(answers: List<HostAnswer>): MergedTimeline {
+    val reached = answers.filterIsInstance<HostAnswer.Reached>().map { it.timeline }
+    val unreached = answers.filterIsInstance<HostAnswer.Unreached>()
+    val overwritten = reached.filter { it.dropped > 0 }
+    return MergedTimeline(
+        reached.flatMap { it.events }.distinct()
+            .sortedWith(compareBy({ it.time }, { it.host })),
+        unreached.map { "${it.host} was not reached: ${it.reason}" } +
+            overwritten.map { "${it.host} has overwritten its ${it.dropped} oldest events" }
+    )
+}
