--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/cli/MemberCommands.kt
@@ -0,0 +1,103 @@
+package dev.jackdawdale.cli
+
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import picocli.CommandLine.Parameters
+
+@Command(
+    name = "endpoint",
+    description = ["Lists and operates the endpoints that serve requests."],
+    mixinStandardHelpOptions = true
+)
+internal class EndpointCommand : Runnable {
+    override fun run() = CommandLine(this).usage(System.out)
+}
+
+internal fun endpointCommandLine(): CommandLine = CommandLine(EndpointCommand())
+    .addSubcommand(EndpointListCommand())
+    .addSubcommand("drain", operation("endpoints", "drain", "Gives it no new requests."))
+    .addSubcommand("start", operation("endpoints", "start", "Gives it requests again."))
+    .addSubcommand("stop", operation("endpoints", "stop", "Takes it out of routing."))
+
+@Command(
+    name = "list",
+    description = ["Lists endpoints with their slots and requests in flight."],
+    footer = ["", "Example: jackdawdale endpoint list"]
+)
+internal class EndpointListCommand : CellCommand() {
+    override fun call(): Int = run(CellCall("GET", "/v1/endpoints")) {
+        val shown = columns(
+            "info.endpoint_id",
+            "info.service",
+            "phase",
+            "in_flight",
+            "info.slots",
+            "info.connections",
+            "info.failure_domain",
+            "info.address",
+            "info.port"
+        )
+        printList(it, "endpoints", shown)
+    }
+}
+
+@Command(
+    name = "worker",
+    description = ["Lists and operates the workers that run tasks."],
+    mixinStandardHelpOptions = true
+)
+internal class WorkerCommand : Runnable {
+    override fun run() = CommandLine(this).usage(System.out)
+}
+
+internal fun workerCommandLine(): CommandLine = CommandLine(WorkerCommand())
+    .addSubcommand(WorkerListCommand())
+    .addSubcommand("drain", operation("workers", "drain", "Gives it no new tasks."))
+    .addSubcommand("start", operation("workers", "start", "Gives it tasks again."))
+    .addSubcommand("stop", operation("workers", "stop", "Stops its tasks; they go elsewhere."))
+    .addSubcommand(
+        "confirm-lost",
+        operation(
+            "workers",
+            "confirm-lost",
+            "States that it is off and runs nothing, so that its tasks may go elsewhere."
+        )
+    )
+
+@Command(
+    name = "list",
+    description = ["Lists workers with their capacity and what is allocated."],
+    footer = ["", "Example: jackdawdale worker list"]
+)
+internal class WorkerListCommand : CellCommand() {
+    override fun call(): Int = run(CellCall("GET", "/v1/workers")) {
+        val shown = columns(
+            "info.worker_id",
+            "phase",
+            "tasks",
+            "info.capacity",
+            "allocated",
+            "info.rack",
+            "info.failure_domain",
+            "info.enforces_leases"
+        )
+        printList(it, "workers", shown)
+    }
+}
+
+/** An operation on one member; the path of the call is `/v1/<members>/<id>/<operation>`. */
+private class Operation(private val members: String, private val operation: String) :
+    CellCommand() {
+    @Parameters(paramLabel = "ID", description = ["Id of the endpoint or worker."])
+    var id: String = ""
+
+    override fun call(): Int =
+        run(CellCall("POST", "/v1/$members/${segment(id)}/$operation"), ::printObject)
+}
+
+private fun operation(members: String, name: String, description: String): CommandLine {
+    val line = CommandLine(Operation(members, name))
+    val example = "Example: jackdawdale ${members.dropLast(1)} $name ${members.first()}1"
+    line.commandSpec.usageMessage().description(description).footer("", example)
+    return line
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/cli/Paths.kt
@@ -0,0 +1,14 @@
+package dev.jackdawdale.cli
+
+import java.net.URLEncoder
+
+/** [text] as one segment of a path or one value of a query. */
+internal fun segment(text: String): String =
+    URLEncoder.encode(text, Charsets.UTF_8).replace("+", "%20")
+
+/** A query string of the parameters that have a value. */
+internal fun query(vararg parameters: Pair<String, Any?>): String {
+    val given = parameters.filter { it.second != null }
+    if (given.isEmpty()) return ""
+    return given.joinToString("&", "?") { (name, value) -> "$name=${segment("$value")}" }
+}
