Add telemetry and the load tool

Operators need the five measures on the metrics page and log lines that can be searched by work, customer, host, incarnation and term.

Log lines are JSON by a template, or text; ids come from the thread context. The load tool is open-loop: waits count from the planned start, and every answer is checked against the mark of its own request.

--- a/src/main/kotlin/dev/jackdawdale/cli/CellOptions.kt
+++ b/src/main/kotlin/dev/jackdawdale/cli/CellOptions.kt
@@ -45,11 +45,13 @@
         System.getenv("JACKDAWDALE_HOSTS")?.split(',')?.map { it.trim() } ?: listOf(DEFAULT_HOST)
     }
 
+    fun bearer(): String? = token ?: System.getenv("JACKDAWDALE_TOKEN")
+
     fun customerId(): String? = customer ?: System.getenv("JACKDAWDALE_CUSTOMER")
 
     /** A client that proves itself by token, or names the customer where tokens are off. */
     fun client(): CellClient {
-        val bearer = token ?: System.getenv("JACKDAWDALE_TOKEN")
+        val bearer = bearer()
         val headers = when {
             bearer != null -> mapOf("Authorization" to "Bearer $bearer")
             else -> customerId()?.let { mapOf("Jackdawdale-Customer" to it) }.orEmpty()
--- a/src/main/kotlin/dev/jackdawdale/cli/SampleCommand.kt
+++ b/src/main/kotlin/dev/jackdawdale/cli/SampleCommand.kt
@@ -22,6 +22,7 @@
 internal fun sampleCommandLine(): CommandLine = CommandLine(SampleCommand())
     .addSubcommand(SampleEndpointCommand())
     .addSubcommand(SampleWorkerCommand())
+    .addSubcommand(SampleLoadCommand())
 
 @Command(
     name = "endpoint",
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/standin/LoadReport.kt
@@ -0,0 +1,84 @@
+package dev.jackdawdale.standin
+
+import java.util.TreeMap
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.serialization.Serializable
+import org.HdrHistogram.ConcurrentHistogram
+
+/** Quantiles of one kind of request, in milliseconds from the planned start to the answer. */
+@Serializable
+internal data class KindLatency(
+    val kind: String,
+    val succeeded: Long,
+    val p50Ms: Double,
+    val p99Ms: Double,
+    val maxMs: Double
+)
+
+/**
+ * What a load came to.
+ *
+ * @property outcomes number of requests by outcome or error
+ * @property mixUps succeeded requests whose answer was not their own or not whole
+ * @property skipped planned starts that were not made because too many requests were open
+ */
+@Serializable
+internal data class LoadReport(
+    val outcomes: Map<String, Int>,
+    val mixUps: Int,
+    val skipped: Int,
+    val latencies: List<KindLatency>
+)
+
+/** Collects answers on many threads. */
+internal class LoadTally {
+    private val outcomes = ConcurrentHashMap<String, AtomicInteger>()
+    private val latencies = ConcurrentHashMap<String, ConcurrentHistogram>()
+    private val mixUps = AtomicInteger()
+    private val skipped = AtomicInteger()
+
+    fun add(answer: LoadAnswer) {
+        outcomes.computeIfAbsent(answer.outcome) { AtomicInteger() }.incrementAndGet()
+        if (answer.mixUp() != null) mixUps.incrementAndGet()
+        if (answer.outcome != RESULT_SUCCEEDED) return
+        latencies.computeIfAbsent(answer.kind) { ConcurrentHistogram(MAX_MS, DIGITS) }
+            .recordValue(answer.waitMs.coerceIn(0, MAX_MS))
+    }
+
+    fun skip() {
+        skipped.incrementAndGet()
+    }
+
+    fun report(): LoadReport = LoadReport(
+        TreeMap(outcomes.mapValues { it.value.get() }),
+        mixUps.get(),
+        skipped.get(),
+        latencies.toSortedMap().map { (kind, histogram) ->
+            KindLatency(
+                kind,
+                histogram.totalCount,
+                histogram.getValueAtPercentile(50.0).toDouble(),
+                histogram.getValueAtPercentile(99.0).toDouble(),
+                histogram.maxValue.toDouble()
+            )
+        }
+    )
+}
+
+/** The report for people. */
+internal fun LoadReport.toText(): String = buildString {
+    outcomes.forEach { (outcome, count) -> appendLine("$outcome: $count") }
+    appendLine("answers of other requests or parts of answers: $mixUps")
+    if (skipped > 0) appendLine("not started, too many open: $skipped")
+    latencies.forEach {
+        appendLine(
+            "${it.kind.ifEmpty { "(no kind)" }}: p50 ${it.p50Ms} ms, p99 ${it.p99Ms} ms, " +
+                "max ${it.maxMs} ms of ${it.succeeded}"
+        )
+    }
+}
+
+private val MAX_MS = TimeUnit.HOURS.toMillis(1)
+private const val DIGITS = 3
--- a/src/main/kotlin/dev/jackdawdale/standin/Mark.kt
+++ b/src/main/kotlin/dev/jackdawdale/standin/Mark.kt
@@ -2,6 +2,7 @@
 
 import java.security.MessageDigest
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 
 /**
  * The answer of a sample endpoint. It names the work and the body it belongs to, so that a caller
@@ -21,3 +22,10 @@
 /** Hexadecimal SHA-256 of [bytes]. */
 internal fun sha256Hex(bytes: ByteArray): String =
     MessageDigest.getInstance("SHA-256").digest(bytes).joinToString("") { "%02x".format(it) }
+
+/** The mark in [text], or null when it is not a whole one. */
+internal fun markOrNull(text: String): Mark? = try {
+    snakeJson.decodeFromString<Mark>(text)
+} catch (_: SerializationException) {
+    null
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/telemetry/Logging.kt
@@ -0,0 +1,70 @@
+package dev.jackdawdale.telemetry
+
+import org.apache.logging.log4j.CloseableThreadContext
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.core.config.Configurator
+import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilder
+import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilderFactory
+import org.apache.logging.log4j.core.config.builder.api.LayoutComponentBuilder
+import org.apache.logging.log4j.core.config.builder.impl.BuiltConfiguration
+
+private typealias Builder = ConfigurationBuilder<BuiltConfiguration>
+
+/**
+ * How this process logs, on standard output.
+ *
+ * @property json one JSON object a line; otherwise text for people
+ * @property incarnation start of this process, so that the lines of two runs can be told apart
+ */
+internal data class Logging(
+    val json: Boolean,
+    val level: Level,
+    val host: String,
+    val incarnation: Long
+)
+
+/** Puts [logging] in force for the whole process. */
+internal fun configureLogging(logging: Logging) {
+    val builder = ConfigurationBuilderFactory.newConfigurationBuilder()
+    // The command line stops logging itself, after the work in flight has ended.
+    builder.setShutdownHook("disable").setStatusLevel(Level.ERROR)
+    val layout = if (logging.json) jsonLayout(builder, logging) else textLayout(builder, logging)
+    builder.add(
+        builder.newAppender("console", "Console").addAttribute("target", "SYSTEM_OUT").add(layout)
+    )
+    builder.add(builder.newRootLogger(logging.level).add(builder.newAppenderRef("console")))
+    Configurator.reconfigure(builder.build())
+}
+
+private fun jsonLayout(builder: Builder, logging: Logging): LayoutComponentBuilder =
+    builder.newLayout("JsonTemplateLayout")
+        .addAttribute("eventTemplateUri", "classpath:jackdawdale-log.json")
+        .addComponent(field(builder, "host", logging.host, "STRING"))
+        .addComponent(field(builder, "incarnation", "${logging.incarnation}", "JSON"))
+
+private fun field(builder: Builder, key: String, value: String, format: String) =
+    builder.newComponent("EventTemplateAdditionalField")
+        .addAttribute("key", key)
+        .addAttribute("value", value)
+        .addAttribute("format", format)
+
+private fun textLayout(builder: Builder, logging: Logging): LayoutComponentBuilder =
+    builder.newLayout("PatternLayout").addAttribute(
+        "pattern",
+        "%d{ISO8601} %-5level ${logging.host} %logger{1} %notEmpty{[%X] }%msg%n%ex"
+    )
+
+/** Log lines of [block] carry the ids that are given. */
+internal inline fun <T> withLogFields(
+    work: String? = null,
+    customer: String? = null,
+    term: Long? = null,
+    block: () -> T
+): T {
+    val fields = buildMap {
+        work?.let { put("work", it) }
+        customer?.let { put("customer", it) }
+        term?.let { put("term", "$it") }
+    }
+    return CloseableThreadContext.putAll(fields).use { block() }
+}
