Feed timeline, meters and logs from committed events

Cause: processes ran without metrics of the cell and with an empty timeline. Change: an observer of committed batches records events and the five measures on the leader only; refusals are counted by label; logs follow the settings. Conclusion: events of entry hosts still arrive as text and are mapped by their first word.

--- a/src/main/kotlin/dev/jackdawdale/control/CommandHandler.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/CommandHandler.kt
@@ -43,7 +43,8 @@
     private val waiters: RequestWaiters,
     private val answerOrHold: (WorkerPoll) -> Unit,
     private val answerQuery: (CallContext, Query) -> Unit,
-    private val answerEnded: (CallContext, Asked) -> Unit
+    private val answerEnded: (CallContext, Asked) -> Unit,
+    private val refused: (Refusal) -> Unit
 ) {
     fun handle(pass: Pass, leading: Leadership, call: CallContext, command: Command) =
         when (command) {
@@ -274,8 +275,10 @@
         refuse(pass, call, Refusal.RequestIdReused(workId))
 
     /** A refusal waits like any reply: a leader that was replaced must not refuse known work. */
-    private fun refuse(pass: Pass, call: CallContext, refusal: Refusal) =
+    private fun refuse(pass: Pass, call: CallContext, refusal: Refusal) {
+        refused(refusal)
         pass.whenDurable { call.reply(Reply.Refused(refusal)) }
+    }
 }
 
 /** The answer to a process that was replaced by a newer one; it gets no lease and no orders. */
--- a/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
@@ -38,8 +38,14 @@
     private val waiters = RequestWaiters()
     private val configurations = ConfigurationSender(settings, log, sessions, clock)
     private val polls = PollAnswers(settings, { committed }, ::now, ::grantLease)
-    private val commands =
-        CommandHandler(settings, waiters, polls::answerOrHold, ::answerQuery, ::answerEnded)
+    private val commands = CommandHandler(
+        settings,
+        waiters,
+        polls::answerOrHold,
+        ::answerQuery,
+        ::answerEnded,
+        observer.refused
+    )
     private var leadership: Leadership? = null
     private var lastTickMs = 0L
 
@@ -61,22 +67,23 @@
         if (own != null) {
             leadership?.proposed?.removeFirst()
             committed = own.after
-            records.append(own.records)
-            observer.committed(own.batch, before, committed)
+            records.append(own.records, index)
+            observer.committed(CommittedBatch(own.batch, before, committed, leadership?.soft))
             release(own)
             wakeUp()
         } else {
             val batch = decodeEventBatch(payload)
             val applied = before.apply(batch)
             committed = applied.state
-            records.append(applied.records)
-            observer.committed(batch, before, committed)
+            records.append(applied.records, index)
+            observer.committed(CommittedBatch(batch, before, committed, soft = null))
         }
     }
 
     /** Replaces the state by a snapshot of another replica. */
     fun restore(snapshot: ByteArray) {
         committed = decodeCellState(snapshot)
+        records.expect(committed.nextRecordNumber)
     }
 
     /** Captures the committed state; the returned function encodes it on any thread. */
@@ -177,7 +184,7 @@
         pass.schedule(sessions.dispatchable(), settings.maxPlacementsPerPass)
         finish(pass, leading)
         if (ticks) sendDue(leading)
-        observer.passFinished(System.nanoTime() - startedNanos, pass.events.size)
+        observer.passFinished(System.nanoTime() - startedNanos)
         if (inbox.isNotEmpty()) wakeUp()
     }
 
--- a/src/main/kotlin/dev/jackdawdale/control/ReplicatedLog.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ReplicatedLog.kt
@@ -36,10 +36,13 @@
 /**
  * The records of ended work as the control loop uses them. Results arrive on the control thread.
  *
- * @property append adds records in order; a record with a known number changes nothing
+ * @property append adds the records that a log entry completed; a record with a known number
+ *     changes nothing
+ * @property expect tells how many records a restored snapshot counts; missing ones are fetched
  */
 internal data class RecordAccess(
-    val append: (List<WorkRecord>) -> Unit,
+    val append: (records: List<WorkRecord>, logIndex: Long) -> Unit,
+    val expect: (count: Long) -> Unit,
     val read: (number: Long, onResult: (WorkRecord?) -> Unit) -> Unit,
     val search: (query: Query.Records, onResult: (Reply) -> Unit) -> Unit
 )
--- a/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
@@ -1,6 +1,5 @@
 package dev.jackdawdale.host
 
-import dev.jackdawdale.control.ControlObserver
 import dev.jackdawdale.control.RecordAccess
 import dev.jackdawdale.entry.CustomerTokens
 import dev.jackdawdale.entry.EntryHost
@@ -9,14 +8,20 @@
 import dev.jackdawdale.entry.entryHost
 import dev.jackdawdale.entry.httpServer
 import dev.jackdawdale.entry.processRoutes
+import dev.jackdawdale.settings.LogFormat
 import dev.jackdawdale.settings.Role
 import dev.jackdawdale.settings.Settings
 import dev.jackdawdale.settings.hasRole
 import dev.jackdawdale.storage.StorageError
-import io.micrometer.prometheusmetrics.PrometheusConfig
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import dev.jackdawdale.telemetry.CellMeters
+import dev.jackdawdale.telemetry.Logging
+import dev.jackdawdale.telemetry.configureLogging
+import dev.jackdawdale.telemetry.prometheusRegistry
+import dev.jackdawdale.timeline.EventKind
+import dev.jackdawdale.timeline.timeline
 import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.runBlocking
+import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.host")
@@ -26,23 +31,37 @@
 /** One process of the system with the roles that its settings name. */
 internal class HostProcess(private val settings: Settings, records: RecordAccess) {
     private val clock = steadyClock()
-    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val registry = prometheusRegistry(settings.host.id.value)
+    private val timeline = timeline(settings.host.id.value, nowMs = clock)
 
     // The wall clock at the start orders the incarnations of a host; a restart within the same
     // millisecond is not possible.
     private val incarnation = System.currentTimeMillis()
     private val clusterKey = settings.readClusterKey()
 
+    init {
+        val level = Level.valueOf(settings.log.level.name)
+        val json = settings.log.format == LogFormat.JSON
+        configureLogging(Logging(json, level, settings.host.id.value, incarnation))
+    }
+
     private val control: ControlRole? = if (settings.hasRole(Role.CONTROL)) {
         val peer = settings.forPeers(settings.control.replicas, incarnation, clusterKey)
-        ControlRole(settings, peer, records, ControlObserver(), clock, ::storageFailed)
+        ControlRole(
+            settings,
+            peer,
+            records,
+            controlObserver(timeline, CellMeters(registry)),
+            clock,
+            ::storageFailed
+        )
     } else {
         null
     }
 
     private val entry: EntryHost? = if (settings.hasRole(Role.ENTRY)) {
         val peer = settings.forPeers(settings.controlHosts(), incarnation, clusterKey)
-        entryHost(settings.forEntry(), peer, registry)
+        entryHost(settings.forEntry(), peer, registry, ::note)
     } else {
         null
     }
@@ -50,11 +69,15 @@
     @Volatile
     private var stopping = false
 
-    private val http: HttpServer = httpServer(settings.forHttp(), routes()) { customerId ->
-        entry?.customerTokens(customerId) ?: CustomerTokens.Stale
-    }
+    private val http: HttpServer = httpServer(
+        settings.forHttp(),
+        routes(),
+        { customerId -> entry?.customerTokens(customerId) ?: CustomerTokens.Stale },
+        registry
+    )
 
     fun start() {
+        timeline.record(EventKind.HOST_STARTED, settings.host.id.value)
         control?.start()
         entry?.start()
         http.start()
@@ -64,6 +87,7 @@
     /** Stops after the work in flight is done and leadership is handed over. */
     fun stop() {
         stopping = true
+        timeline.record(EventKind.HOST_STOPPING, settings.host.id.value)
         log.info("stops: finishes work in flight")
         entry?.let { runBlocking { it.awaitDrained() } }
         control?.handOver()
@@ -74,7 +98,10 @@
     }
 
     private fun routes(): List<Route> = entry?.routes.orEmpty() +
-        processRoutes(registry, ::notReadyBecause) { "[]" }
+        processRoutes(registry, ::notReadyBecause, timeline::json)
+
+    private fun note(subject: String, text: String) =
+        timeline.record(noteKind(text), subject, settings.host.id.value, details = text)
 
     private fun notReadyBecause(): String? = when {
         stopping -> "stopping"
--- a/src/main/kotlin/dev/jackdawdale/host/MemoryRecords.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/MemoryRecords.kt
@@ -7,7 +7,8 @@
 internal fun memoryRecords(): RecordAccess {
     val all = mutableListOf<WorkRecord>()
     return RecordAccess(
-        append = { records -> all += records.filter { it.number >= all.size } },
+        append = { records, _ -> all += records.filter { it.number >= all.size } },
+        expect = {},
         read = { number, onResult -> onResult(all.getOrNull(number.toInt())) },
         search = { query, reply ->
             val found = all.drop(query.fromNumber.toInt())
--- a/src/test/kotlin/dev/jackdawdale/control/FakeCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/control/FakeCell.kt
@@ -59,7 +59,8 @@
         settings = ControlSettings(),
         log = log,
         records = RecordAccess(
-            append = { records += it },
+            append = { added, _ -> records += added },
+            expect = {},
             read = { number, onResult ->
                 onResult(records.firstOrNull { it.number == number })
             },
