--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/replica/RecordFetcher.kt
@@ -0,0 +1,54 @@
+package dev.jackdawdale.replica
+
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.raft.MAX_MESSAGE_PAYLOAD_BYTES
+import dev.jackdawdale.raft.RaftMessage
+import dev.jackdawdale.raft.RecordBatch
+import dev.jackdawdale.raft.RecordFetch
+import dev.jackdawdale.raft.ReplicaId
+import dev.jackdawdale.records.RecordPosition
+import dev.jackdawdale.records.RecordStore
+import dev.jackdawdale.storage.StorageException
+
+/** Silence after which another peer is asked. */
+private const val ANSWER_TIMEOUT_MS = 500L
+
+/** Fetches records that this replica lacks, and serves those it holds to others. */
+internal class RecordFetcher(
+    private val self: ReplicaId,
+    private val records: RecordStore,
+    private val threads: ReplicaThreads,
+    private val send: (to: HostId, message: RaftMessage) -> Unit
+) {
+    private var asked: HostId? = null
+    private var dueMs = 0L
+
+    /** Asks the next of [peers] when records are missing and no answer is awaited. */
+    fun tick(peers: List<HostId>, nowMs: Long) {
+        if (nowMs < dueMs || peers.isEmpty()) return
+        val wanted = records.wanted() ?: return
+        ask(peers[(peers.indexOf(asked) + 1) % peers.size], wanted, nowMs)
+    }
+
+    fun onBatch(from: HostId, batch: RecordBatch, nowMs: Long) {
+        if (from != asked || batch.parts.isEmpty()) return
+        val next = records.receive(batch.parts)
+        if (next != null) ask(from, next, nowMs)
+    }
+
+    /** Reads on the background thread; a peer that gets no answer asks another one. */
+    fun serve(from: HostId, fetch: RecordFetch) = threads.background.execute {
+        val parts = try {
+            records.parts(RecordPosition(fetch.number, fetch.offset), MAX_MESSAGE_PAYLOAD_BYTES)
+        } catch (_: StorageException) {
+            emptyList()
+        }
+        threads.control.execute { send(from, RecordBatch(self, parts)) }
+    }
+
+    private fun ask(peer: HostId, wanted: RecordPosition, nowMs: Long) {
+        asked = peer
+        dueMs = nowMs + ANSWER_TIMEOUT_MS
+        send(peer, RecordFetch(self, wanted.number, wanted.offset))
+    }
+}
--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -48,8 +48,18 @@
     )
     private val assembler = CommandAssembler()
     private val joining = Joining(settings.hostId, settings.hosts)
-    private val snapshots = Snapshots(settings, callbacks, threads, parts.storage, queue)
+    private val snapshots = Snapshots(
+        settings,
+        callbacks,
+        threads,
+        parts.storage,
+        parts.records,
+        queue
+    )
     private val calls = PendingCalls()
+    private val fetcher = parts.records?.let {
+        RecordFetcher(state.self, it, threads, callbacks.send)
+    }
     private var appliedIndex = state.commitIndex
     private var nowMs = 0L
     private var helloDueMs = 0L
@@ -74,6 +84,7 @@
         run(RaftInput.Tick)
         introduce()
         takeSnapshotIfDue()
+        fetcher?.tick(otherHosts(), nowMs)
     }
 
     /** Takes a message that [from] sent. */
@@ -84,7 +95,8 @@
             is ConsensusMessage -> run(RaftInput.Receive(from, message))
             is Hello -> onHello(from, message)
             is HelloReply -> joining.onReply(message, nowMs)
-            is RecordFetch, is RecordBatch -> Unit
+            is RecordFetch -> fetcher?.serve(from, message)
+            is RecordBatch -> fetcher?.onBatch(from, message, nowMs)
         }
     }
 
@@ -135,6 +147,9 @@
         calls.failAll(null)
     }
 
+    private fun otherHosts(): List<HostId> =
+        state.membership.members.map { it.hostId }.filter { it != settings.hostId }
+
     private fun leaderHost(): HostId? = state.leader?.let { state.membership.member(it)?.hostId }
 
     /**
--- a/src/main/kotlin/dev/jackdawdale/replica/ReplicaCallbacks.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/ReplicaCallbacks.kt
@@ -16,8 +16,6 @@
  *   proposals are accepted
  * @property lostLeadership entries proposed in the term and not applied yet may or may not commit
  * @property storageFailed the replica has stopped; only a restart of the process helps
- * @property recordsSynced true when the records of all entries up to the index are synced; no
- *   snapshot is kept, and no entry dropped, before that
  */
 internal class ReplicaCallbacks(
     val send: (to: HostId, message: RaftMessage) -> Unit,
@@ -26,6 +24,5 @@
     val capture: () -> () -> ByteArray,
     val becameLeader: (term: Long) -> Unit = {},
     val lostLeadership: (term: Long) -> Unit = {},
-    val storageFailed: (error: StorageError) -> Unit = {},
-    val recordsSynced: (index: Long) -> Boolean = { true }
+    val storageFailed: (error: StorageError) -> Unit = {}
 )
--- a/src/main/kotlin/dev/jackdawdale/replica/ReplicaFactory.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/ReplicaFactory.kt
@@ -11,6 +11,7 @@
 import dev.jackdawdale.raft.quorumHeardMs
 import dev.jackdawdale.raft.raftLog
 import dev.jackdawdale.raft.raftState
+import dev.jackdawdale.records.RecordStore
 import dev.jackdawdale.storage.ReplicaStorage
 import dev.jackdawdale.storage.StorageError
 import dev.jackdawdale.storage.StoredSnapshot
@@ -30,11 +31,17 @@
 )
 
 /** Where a replica keeps its state and what it held at the start. */
-internal class ReplicaParts(val storage: ReplicaStorage, val snapshot: StoredSnapshot?)
+internal class ReplicaParts(
+    val storage: ReplicaStorage,
+    val snapshot: StoredSnapshot?,
+    val records: RecordStore?
+)
 
 /**
  * Makes a replica over an opened data folder; reads the folder on the calling thread.
  *
+ * @param records when given, records that it lacks are fetched from the other members, and no
+ *   snapshot is kept, and no entry dropped, before the records up to there are synced
  * @throws dev.jackdawdale.storage.StorageException when the folder is damaged
  */
 internal fun replica(
@@ -42,7 +49,8 @@
     storage: ReplicaStorage,
     callbacks: ReplicaCallbacks,
     threads: ReplicaThreads,
-    nowMs: Long
+    nowMs: Long,
+    records: RecordStore? = null
 ): Replica {
     val stored = storage.load()
     val meta = stored.snapshot?.meta ?: SnapshotMeta(0, 0, Membership())
@@ -55,7 +63,8 @@
         seed = settings.seed,
         nowMs = nowMs
     )
-    return Replica(settings, callbacks, threads, state, ReplicaParts(storage, stored.snapshot))
+    val parts = ReplicaParts(storage, stored.snapshot, records)
+    return Replica(settings, callbacks, threads, state, parts)
 }
 
 internal fun replicaStatus(
--- a/src/main/kotlin/dev/jackdawdale/replica/Snapshots.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Snapshots.kt
@@ -14,6 +14,7 @@
 import dev.jackdawdale.raft.lastIndex
 import dev.jackdawdale.raft.membershipAt
 import dev.jackdawdale.raft.termAt
+import dev.jackdawdale.records.RecordStore
 import dev.jackdawdale.storage.ReplicaStorage
 import dev.jackdawdale.storage.StorageException
 import dev.jackdawdale.storage.StorageWrite
@@ -29,6 +30,7 @@
     private val callbacks: ReplicaCallbacks,
     private val threads: ReplicaThreads,
     private val storage: ReplicaStorage,
+    private val records: RecordStore?,
     private val queue: StorageQueue
 ) {
     private var appliedBytes = 0L
@@ -80,7 +82,7 @@
         log: RaftLog,
         onTaken: (RaftInput.SnapshotTaken) -> Unit
     ) {
-        if (!callbacks.recordsSynced(snapshot.meta.index)) return
+        if (records != null && !records.isSynced(snapshot.meta.index)) return
         encoded = null
         val taken = RaftInput.SnapshotTaken(snapshot.meta, dropThrough(snapshot.meta, log))
         threads.background.execute {
--- a/src/main/kotlin/dev/jackdawdale/storage/FrameFile.kt
+++ b/src/main/kotlin/dev/jackdawdale/storage/FrameFile.kt
@@ -138,6 +138,28 @@
     return frames
 }
 
+/**
+ * Reads the payload of one frame.
+ *
+ * @throws StorageException when the frame is not whole
+ */
+internal fun readFrame(path: Path, frame: Frame): ByteBuffer = onDisk(path) {
+    val bytes = ByteArray(FRAME_HEADER_BYTES + frame.length)
+    val buffer = ByteBuffer.wrap(bytes)
+    FileChannel.open(path, StandardOpenOption.READ).use { channel ->
+        channel.position(frame.offset)
+        while (buffer.hasRemaining() && channel.read(buffer) >= 0) Unit
+    }
+    buffer.flip()
+    if (!buffer.holdsFrame(frame)) damaged(path, frame.offset, "checksum does not match")
+    ByteBuffer.wrap(bytes, FRAME_HEADER_BYTES, frame.length).slice()
+}
+
+private fun ByteBuffer.holdsFrame(frame: Frame): Boolean =
+    limit() == FRAME_HEADER_BYTES + frame.length &&
+        getInt(0) == frame.length &&
+        checksumAt(0, frame.length) == getInt(Int.SIZE_BYTES)
+
 /** Size of a file that ends with the last of [frames]. */
 internal fun endOf(frames: List<Frame>): Long =
     frames.lastOrNull()?.let { it.offset + FRAME_HEADER_BYTES + it.length }
@@ -150,10 +172,14 @@
     if (length < 0 || length > limit() - offset - FRAME_HEADER_BYTES) return -1
     val syncedBytes = getLong(offset + 2 * Int.SIZE_BYTES)
     if (syncedBytes < FILE_HEADER_BYTES || syncedBytes > offset) return -1
+    return if (checksumAt(offset, length) == getInt(offset + Int.SIZE_BYTES)) length else -1
+}
+
+private fun ByteBuffer.checksumAt(offset: Int, length: Int): Int {
     val crc = CRC32C()
-    crc.update(frameHeader(length, 0, syncedBytes))
+    crc.update(frameHeader(length, 0, getLong(offset + 2 * Int.SIZE_BYTES)))
     crc.update(array(), arrayOffset() + offset + FRAME_HEADER_BYTES, length)
-    return if (crc.value.toInt() == getInt(offset + Int.SIZE_BYTES)) length else -1
+    return crc.value.toInt()
 }
 
 /** True when a frame after [badOffset] was written after a sync that covered [badOffset]. */
