--- a/src/test/kotlin/dev/jackdawdale/standin/FakeEntryHost.kt
+++ b/src/test/kotlin/dev/jackdawdale/standin/FakeEntryHost.kt
@@ -22,10 +22,11 @@
 )
 
 /** An HTTP server on loopback that answers each call by [answer] and keeps the calls. */
-internal class FakeEntryHost(private val answer: (Call) -> FakeAnswer) : AutoCloseable {
+internal class FakeEntryHost(port: Int = 0, private val answer: (Call) -> FakeAnswer) :
+    AutoCloseable {
     val calls = CopyOnWriteArrayList<Call>()
     private val threads = Executors.newCachedThreadPool()
-    private val server = HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0)
+    private val server = HttpServer.create(InetSocketAddress("127.0.0.1", port), 0)
     val url: String get() = "http://127.0.0.1:${server.address.port}"
 
     init {
--- a/src/test/kotlin/dev/jackdawdale/standin/SampleLoadTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/standin/SampleLoadTest.kt
@@ -41,7 +41,7 @@
                 },
                 Row("refusals", mapOf("limit_reached" to 10), 0) { FakeAnswer(429, busy) }
             ) { row ->
-                FakeEntryHost(row.answer).use { host ->
+                FakeEntryHost(answer = row.answer).use { host ->
                     val report = runLoad(options(host.url))
                     report.outcomes shouldBe row.outcomes
                     report.mixUps shouldBe row.mixUps
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/testing/SampleProcessesIT.kt
@@ -0,0 +1,94 @@
+package dev.jackdawdale.testing
+
+import dev.jackdawdale.standin.FakeAnswer
+import dev.jackdawdale.standin.FakeEntryHost
+import dev.jackdawdale.standin.JournalEvent
+import dev.jackdawdale.standin.JournalLine
+import dev.jackdawdale.standin.TaskOrder
+import dev.jackdawdale.standin.WorkerOrders
+import dev.jackdawdale.standin.httpClient
+import dev.jackdawdale.standin.snakeJson
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import kotlinx.serialization.encodeToString
+
+private const val LEASE_MS = 600L
+
+private fun run(port: Int, workId: String, body: String): String {
+    val request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:$port/v1/run"))
+        .header("Jackdawdale-Work-Id", workId)
+        .header("Jackdawdale-Token", "1")
+        .POST(HttpRequest.BodyPublishers.ofString(body))
+    return httpClient().send(request.build(), HttpResponse.BodyHandlers.ofString()).body()
+}
+
+private fun TestCell.journal(source: String, event: JournalEvent): List<JournalLine> =
+    journals().filter { it.source == source && it.event == event }
+
+/** The harness and the samples as real processes, without hosts of the system. */
+class SampleProcessesIT :
+    FunSpec({
+        test("an endpoint behind a proxy runs, is cut off, is killed, and its journal says so") {
+            TestCell(CellPlan(controls = 1, entries = 1, proxied = true)).use { cell ->
+                cell.startEndpoint("ep1", "echo")
+                cell.awaitUntil("ep1 up", 30_000) { cell.journal("ep1", JournalEvent.UP).any() }
+                val link = cell.link("entry", "ep1")
+                run(link.port, "c/1", "run_ms=1").contains("c/1") shouldBe true
+                link.reset(refuseNew = true)
+                shouldThrow<IOException> { run(link.port, "c/2", "run_ms=1") }
+                cell.kill("ep1")
+                cell.journal("ep1", JournalEvent.DOWN).single().result shouldBe "killed"
+                violations(Evidence(cell.journals())).shouldBeEmpty()
+            }
+        }
+
+        test("an endpoint that gets SIGTERM finishes what it has and exits with 0") {
+            TestCell(CellPlan(controls = 1, entries = 1)).use { cell ->
+                val entry = cell.hosts.last().http
+                FakeEntryHost(entry) { FakeAnswer(200, """{"phase":"ACTIVE"}""") }.use { host ->
+                    val process = cell.startEndpoint("ep1", "echo")
+                    cell.awaitUntil("ep1 announced", 30_000) { host.calls.isNotEmpty() }
+                    process.terminate() shouldBe 0
+                    host.calls.last().body.contains("\"leaving\":true") shouldBe true
+                }
+            }
+        }
+
+        test("a worker that was frozen past its lease reports that its task ended with the lease") {
+            TestCell(CellPlan(controls = 1, entries = 1)).use { cell ->
+                val start = TaskOrder("start", "c/j#0", 1, 100, 10, 0, 60_000, "run_ms=60000")
+                val orders = snakeJson.encodeToString(
+                    WorkerOrders(LEASE_MS, orders = listOf(start))
+                )
+                FakeEntryHost(cell.hosts.last().http) {
+                    Thread.sleep(LEASE_MS / 6)
+                    FakeAnswer(200, orders)
+                }.use {
+                    val worker = cell.startWorker("w1", "--poll-ms", "100")
+                    cell.awaitUntil("task started", 30_000) {
+                        cell.journal("w1", JournalEvent.START).any()
+                    }
+                    worker.freeze()
+                    val frozenAtMs = checkNotNull(worker.frozenAtMs)
+                    cell.awaitUntil("lease over", 30_000) {
+                        System.currentTimeMillis() > frozenAtMs + 3 * LEASE_MS
+                    }
+                    val resumedAtMs = System.currentTimeMillis()
+                    worker.resume()
+                    cell.awaitUntil("task stopped", 30_000) {
+                        cell.journal("w1", JournalEvent.STOP).any()
+                    }
+                    val stop = cell.journal("w1", JournalEvent.STOP).first()
+                    stop.result shouldBe "lease ended"
+                    stop.atMs shouldBeLessThan resumedAtMs
+                }
+            }
+        }
+    })
