Keep records on disk and stop sample processes with status 0

Cause: records of ended work were held in memory; bin/try failed because a sample worker ended with status 143: Log4j started within a shutdown hook and threw. Change: the host process uses the hash-chained record store, with its own reader thread; Log4j starts before the hook is added; a control host without another voter does not wait for a handover.

--- a/src/main/kotlin/dev/jackdawdale/cli/RunUntilStopped.kt
+++ b/src/main/kotlin/dev/jackdawdale/cli/RunUntilStopped.kt
@@ -8,6 +8,8 @@
  * 0. It returns only when the waiting thread is interrupted.
  */
 internal fun runUntilStopped(onStop: () -> Unit) {
+    // Log4j cannot start within a shutdown hook, where it registers a hook of its own.
+    LogManager.getContext(false)
     val hook = Thread {
         try {
             onStop()
--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -3,11 +3,11 @@
 import dev.jackdawdale.control.ControlLoop
 import dev.jackdawdale.control.ControlObserver
 import dev.jackdawdale.control.LogStatus
-import dev.jackdawdale.control.RecordAccess
 import dev.jackdawdale.control.ReplicatedLog
 import dev.jackdawdale.control.SessionLink
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.raft.RaftMessage
+import dev.jackdawdale.records.recordStore
 import dev.jackdawdale.replica.ProposeResult
 import dev.jackdawdale.replica.ReadResult
 import dev.jackdawdale.replica.Replica
@@ -35,6 +35,7 @@
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.host")
+private const val RECORDS_FOLDER = "records"
 private const val TICK_MS = 20L
 private const val REACHABLE_MS = 2_000L
 private const val HANDOVER_TIMEOUT_MS = 5_000L
@@ -49,7 +50,6 @@
 internal class ControlRole(
     settings: Settings,
     peer: PeerSettings,
-    records: RecordAccess,
     observer: ControlObserver,
     private val clock: () -> Long,
     private val storageFailed: (StorageError) -> Unit
@@ -57,8 +57,14 @@
     private val control: ScheduledExecutorService = singleThread("control")
     private val storageThread = singleThread("storage")
     private val background = singleThread("snapshots")
+    private val recordReader = singleThread("records")
     private val passScheduled = AtomicBoolean()
     private val folder = replicaFolder(dataFolder(settings))
+    private val records = recordStore(
+        dataFolder(settings).resolve(RECORDS_FOLDER),
+        storageThread,
+        onFailed = storageFailed
+    )
     private val links = HashMap<ControlSession, TransportLink>()
 
     private val network: PeerNetwork<RaftMessage> = peerNetwork(
@@ -81,7 +87,7 @@
         hostId = settings.host.id,
         settings = settings.forControl(),
         log = ReplicatedLog(::propose, ::confirmLeadership, ::logStatus),
-        records = records,
+        records = recordAccess(records, recordReader, control),
         clock = clock,
         wakeUp = ::schedulePass,
         observer = observer
@@ -95,18 +101,13 @@
             apply = loop::applyCommitted,
             restore = { _, snapshot -> loop.restore(snapshot) },
             capture = loop::capture,
-            becameLeader = { term ->
-                log.info("leads in term {}", term)
-                loop.becameLeader(term)
-            },
-            lostLeadership = { term ->
-                log.info("no longer leads; was leader in term {}", term)
-                loop.lostLeadership(term)
-            },
+            becameLeader = loop::becameLeader,
+            lostLeadership = loop::lostLeadership,
             storageFailed = storageFailed
         ),
         ReplicaThreads(control, storageThread, background),
-        clock()
+        clock(),
+        records
     )
 
     fun start() {
@@ -123,6 +124,8 @@
     fun handOver(): Boolean {
         val deadlineMs = clock() + HANDOVER_TIMEOUT_MS
         while (clock() < deadlineMs) {
+            val isAlone = status().get().members.count { it.voter } <= 1
+            if (isAlone) return true
             val leads = CompletableFuture.supplyAsync(
                 {
                     if (loop.leads) replica.transferLeadership(clock())
@@ -140,10 +143,11 @@
         network.close()
         CompletableFuture.runAsync(replica::stop, control).get()
         control.shutdown()
-        listOf(storageThread, background).forEach { executor ->
+        listOf(storageThread, background, recordReader).forEach { executor ->
             executor.shutdown()
             executor.awaitTermination(HANDOVER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
         }
+        records.close()
         folder.close()
     }
 
--- a/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
@@ -1,6 +1,5 @@
 package dev.jackdawdale.host
 
-import dev.jackdawdale.control.RecordAccess
 import dev.jackdawdale.entry.CustomerTokens
 import dev.jackdawdale.entry.EntryHost
 import dev.jackdawdale.entry.HttpServer
@@ -29,7 +28,7 @@
 private const val STORAGE_EXIT_CODE = 74
 
 /** One process of the system with the roles that its settings name. */
-internal class HostProcess(private val settings: Settings, records: RecordAccess) {
+internal class HostProcess(private val settings: Settings) {
     private val clock = steadyClock()
     private val registry = prometheusRegistry(settings.host.id.value)
     private val timeline = timeline(settings.host.id.value, nowMs = clock)
@@ -50,7 +49,6 @@
         ControlRole(
             settings,
             peer,
-            records,
             controlObserver(timeline, CellMeters(registry)),
             clock,
             ::storageFailed
