--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/proof/ProofCell.kt
@@ -0,0 +1,114 @@
+package dev.jackdawdale.proof
+
+import dev.jackdawdale.standin.httpClient
+import dev.jackdawdale.testing.CallerAnswer
+import dev.jackdawdale.testing.Evidence
+import dev.jackdawdale.testing.RecordClaim
+import dev.jackdawdale.testing.TestCell
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.boolean
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+
+private const val CALL_TIMEOUT_MS = 10_000L
+private val http = httpClient()
+
+/** One HTTP call to an entry host; null when no answer came. */
+internal fun TestCell.call(
+    method: String,
+    path: String,
+    body: String = "",
+    hostId: String = entryHosts.first().id
+): HttpResponse<String>? {
+    val request = HttpRequest.newBuilder(URI.create("${url(hostId)}$path"))
+        .timeout(Duration.ofMillis(CALL_TIMEOUT_MS))
+        .header("Jackdawdale-Customer", CUSTOMER)
+        .method(method, HttpRequest.BodyPublishers.ofString(body))
+        .build()
+    return try {
+        http.send(request, HttpResponse.BodyHandlers.ofString())
+    } catch (_: IOException) {
+        null
+    }
+}
+
+/** The JSON object that a successful call returns, or null. */
+internal fun TestCell.json(path: String, hostId: String = entryHosts.first().id): JsonObject? =
+    call("GET", path, hostId = hostId)?.takeIf { it.statusCode() == 200 }
+        ?.let { Json.parseToJsonElement(it.body()).jsonObject }
+
+/** Host id of the leader, asked until an entry host knows it. */
+internal fun TestCell.awaitLeader(except: String? = null): String {
+    var leader: String? = null
+    awaitUntil("a leader other than $except", 30_000) {
+        leader = entryHosts.firstNotNullOfOrNull { leaderOrNull(it.id) }
+        leader != null && leader != except
+    }
+    return checkNotNull(leader)
+}
+
+private fun TestCell.leaderOrNull(hostId: String): String? =
+    json("/v1/cell", hostId)?.get("leader")?.jsonPrimitive?.content
+
+/** Puts a contract that allows everything that the proofs ask for. */
+internal fun TestCell.putContract(version: Int = 0, changeId: String = "first"): Int? =
+    call("PUT", "/v1/contracts/$CUSTOMER", contractJson(version, changeId))?.statusCode()
+
+internal fun contractJson(expectedVersion: Int, changeId: String, maxTasks: Int = 100): String =
+    """{"expected_version":$expectedVersion,"change_id":"$changeId",
+    "ceiling":{"cpu_millis":1000000,"memory_mib":1000000,"accelerators":100},
+    "max_running_tasks":$maxTasks,"max_running_requests":1000,"request_rate_per_sec":10000,
+    "request_burst":10000,"max_queued_requests":10000,"max_queued_jobs":1000}"""
+
+/** Waits until no work is waiting or running, so that the records are complete. */
+internal fun TestCell.awaitIdle() = awaitUntil("all work ended", 90_000) {
+    val status = json("/v1/cell") ?: json("/v1/cell", entryHosts.last().id)
+    status != null &&
+        listOf(
+            "waiting_requests",
+            "placed_requests",
+            "waiting_tasks",
+            "running_tasks"
+        ).all { status.getValue(it).jsonPrimitive.int == 0 }
+}
+
+/** The journals, answers and records, read after all work has ended. */
+internal fun TestCell.evidence(answers: Collection<CallerAnswer>): Evidence {
+    awaitIdle()
+    return Evidence(journals(), answers.toList(), recordClaims(), recordsAreComplete = true)
+}
+
+internal fun TestCell.recordLines(): List<JsonObject> {
+    val lines = mutableListOf<JsonObject>()
+    awaitUntil("records of all ended work", 30_000) {
+        lines.clear()
+        val ended = json("/v1/cell")?.get("ended_work")?.jsonPrimitive?.long
+        while (ended != null && lines.size < ended) {
+            val page = call("GET", "/v1/records?from_number=${lines.size}&limit=500")
+                ?.takeIf { it.statusCode() == 200 }?.body().orEmpty().lines()
+                .filter { it.isNotBlank() }
+            if (page.isEmpty()) break
+            lines += page.map { Json.parseToJsonElement(it).jsonObject }
+        }
+        lines.size.toLong() == ended
+    }
+    return lines
+}
+
+private fun TestCell.recordClaims(): List<RecordClaim> = recordLines().map { line ->
+    RecordClaim(
+        workId = line.getValue("work_id").jsonPrimitive.content,
+        outcome = line.getValue("outcome").jsonPrimitive.content,
+        mayHaveRun = line.getValue("ran").jsonPrimitive.content != "no",
+        idempotent = (line["request"] as? JsonObject)
+            ?.getValue("idempotent")?.jsonPrimitive?.boolean ?: true
+    )
+}
