Answer at once when a reply or body does not fit a frame

Cause: a reply larger than a frame was dropped and its caller waited for the call's timeout. The same held for bodies above the frame's bound when max_body_bytes is set higher. The registry parameter of httpServer came last, which broke callers that pass the token lookup as trailing lambda.

Change: an oversized reply to a query is replaced by a refusal; bodies over half a frame get 413; an entry host whose maxAnswerBytes exceeds half a frame does not start; the token lookup is the last parameter again.

--- a/src/main/kotlin/dev/jackdawdale/entry/EntryHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/EntryHost.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.launch
 
 private const val DRAIN_POLL_MS = 20L
+private const val BODIES_PER_FRAME = 2
 
 /**
  * The entry role: answers calls with the help of the leader and sends requests to endpoints.
@@ -29,6 +30,9 @@
     private val note: (subject: String, text: String) -> Unit
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+
+    /** Longest body that is sent to the leader: a record holds a request's body and its answer. */
+    private val maxSentBytes = peer.maxFrameBytes / BODIES_PER_FRAME
     internal val contracts = ContractCache()
     internal val waiters = Waiters(settings.maxWaitingBytes)
     internal val client: ControlClient = controlClient(
@@ -59,6 +63,9 @@
         requestRoutes(this) + workRoutes(this) + memberRoutes(this) + operatorRoutes(this)
 
     init {
+        require(settings.maxAnswerBytes <= maxSentBytes) {
+            "maxAnswerBytes ${settings.maxAnswerBytes} is over $maxSentBytes, half a frame"
+        }
         registry.gauge("jackdawdale.entry.waiting.callers", waiters) { it.count.toDouble() }
     }
 
@@ -81,8 +88,11 @@
 
     internal val isDispatcherIdle: Boolean get() = dispatcher.isIdle
 
-    /** Throws [HttpError] 503 while the host may not accept new work. */
-    internal fun requireNewWorkAllowed() {
+    /** Throws [HttpError] while the host may not accept new work, or not [call]'s. */
+    internal fun requireNewWorkAllowed(call: HttpCall) {
+        if (call.body.size >= maxSentBytes) {
+            throw HttpError(413, "body_too_large", "the body is longer than $maxSentBytes bytes")
+        }
         if (refusing) throw unavailable("draining", "this host is stopping")
         if (!contracts.isFresh(System.nanoTime())) {
             throw unavailable(
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpServer.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpServer.kt
@@ -119,8 +119,8 @@
 internal fun httpServer(
     settings: HttpSettings,
     routes: List<Route>,
-    customerTokens: (CustomerId) -> CustomerTokens = { CustomerTokens.Stale },
-    registry: MeterRegistry = CompositeMeterRegistry()
+    registry: MeterRegistry = CompositeMeterRegistry(),
+    customerTokens: (CustomerId) -> CustomerTokens = { CustomerTokens.Stale }
 ): HttpServer {
     val authenticator = Authenticator(settings, customerTokens)
     val context =
--- a/src/main/kotlin/dev/jackdawdale/entry/RequestRoutes.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/RequestRoutes.kt
@@ -21,7 +21,7 @@
 /** The call that runs a request. */
 internal fun requestRoutes(host: EntryHost): List<Route> = listOf(
     Route("POST", "/v1/services/{service}/requests", Access.CUSTOMER) { call ->
-        host.requireNewWorkAllowed()
+        host.requireNewWorkAllowed(call)
         val async = call.headers.getAll("Prefer").any { it.contains(RESPOND_ASYNC, true) }
         val command = call.submitCommand(host.settings, waits = !async)
         if (async) host.submitAsync(command) else host.submitAndWait(command)
--- a/src/main/kotlin/dev/jackdawdale/entry/WorkRoutes.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/WorkRoutes.kt
@@ -30,7 +30,7 @@
 /** The calls about a customer's jobs and about the status of its work. */
 internal fun workRoutes(host: EntryHost): List<Route> = listOf(
     Route("POST", "/v1/jobs", Access.CUSTOMER) { call ->
-        host.requireNewWorkAllowed()
+        host.requireNewWorkAllowed(call)
         val spec = call.decodeBody(JobJson.serializer()).toSpec(call.customer())
         val reply = host.client.call(Command.SubmitJob(spec), host.settings.commandTimeoutMs)
         statusResult(202, reply.expect<Reply.Work>(Ran.UNKNOWN))
--- a/src/main/kotlin/dev/jackdawdale/wire/FrameLink.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/FrameLink.kt
@@ -21,11 +21,17 @@
 /** What one message costs in the queue besides its bodies. */
 internal const val MESSAGE_OVERHEAD_BYTES = 256L
 
-/** The message types of one connection; [weightBytes] estimates the size of a queued message. */
+/**
+ * The message types of one connection.
+ *
+ * @property weightBytes estimates the size of a queued message
+ * @property insteadOfOversized what is sent instead of a message that no frame can hold
+ */
 internal class LinkTypes<I, O>(
     val incoming: KSerializer<I>,
     val outgoing: KSerializer<O>,
-    val weightBytes: (O) -> Long
+    val weightBytes: (O) -> Long,
+    val insteadOfOversized: (O) -> O? = { null }
 )
 
 /**
@@ -136,12 +142,11 @@
         queuedMessages.decrementAndGet()
         queuedBytes.addAndGet(-types.weightBytes(message))
         val frame = cellCbor.encodeToByteArray(types.outgoing, message)
-        if (frame.size > settings.maxFrameBytes) {
-            val kind = (message as Any)::class.simpleName
-            log.error("dropped a {} of {} bytes to {}", kind, frame.size, peer.hostId)
-            return
-        }
-        raw.output.writeFrame(frame)
+        if (frame.size <= settings.maxFrameBytes) return raw.output.writeFrame(frame)
+        val kind = (message as Any)::class.simpleName
+        log.error("dropped a {} of {} bytes to {}", kind, frame.size, peer.hostId)
+        val instead = types.insteadOfOversized(message) ?: return
+        raw.output.writeFrame(cellCbor.encodeToByteArray(types.outgoing, instead))
     }
 
     private suspend fun CoroutineScope.watchSilence() {
--- a/src/main/kotlin/dev/jackdawdale/wire/MessageWeights.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/MessageWeights.kt
@@ -1,6 +1,7 @@
 package dev.jackdawdale.wire
 
 import dev.jackdawdale.model.AttemptResult
+import dev.jackdawdale.model.Refusal
 
 /** Estimated size of a queued message: its bodies and a fixed overhead. */
 internal fun ControlMessage.weightBytes(): Long = MESSAGE_OVERHEAD_BYTES + when (this) {
@@ -16,6 +17,16 @@
     else -> 0
 }
 
+/**
+ * The answer to a query whose reply no frame can hold. Without it the caller would wait for the
+ * reply until its timeout. A query runs nothing, so a refusal of it is true.
+ */
+internal fun ControlMessage.insteadOfOversized(): ControlMessage? {
+    if (this !is ControlMessage.ReplyTo || reply is Reply.Work) return null
+    val problem = "the reply is larger than a frame; ask for less at once"
+    return ControlMessage.ReplyTo(callId, Reply.Refused(Refusal.Invalid("limit", problem)))
+}
+
 /** Estimated size of a queued message: its bodies and a fixed overhead. */
 internal fun EntryMessage.weightBytes(): Long = MESSAGE_OVERHEAD_BYTES + when (this) {
     is EntryMessage.CommandCall -> (command as? Command.SubmitRequest)?.body?.sizeBytes ?: 0
--- a/src/main/kotlin/dev/jackdawdale/wire/PeerNetwork.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/PeerNetwork.kt
@@ -146,7 +146,8 @@
         val types = LinkTypes(
             EntryMessage.serializer(),
             ControlMessage.serializer(),
-            ControlMessage::weightBytes
+            ControlMessage::weightBytes,
+            ControlMessage::insteadOfOversized
         )
         val session = LinkSession(FrameLink(raw, peer, types, settings))
         sessions.run(session)
--- a/src/test/kotlin/dev/jackdawdale/entry/EntryFixture.kt
+++ b/src/test/kotlin/dev/jackdawdale/entry/EntryFixture.kt
@@ -88,6 +88,7 @@
     val server = httpServer(
         http.withHashes(),
         host.routes + processRoutes(registry, host::notReadyBecause) { "[\"$it\"]" },
+        registry,
         host::customerTokens
     ).apply { start() }
     private val client = HttpClient.newHttpClient()
--- a/src/test/kotlin/dev/jackdawdale/entry/HttpContractTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/entry/HttpContractTest.kt
@@ -231,6 +231,10 @@
                         "too_many_connections"
                 }
             }
+            EntryFixture(http = HttpSettings(maxBodyBytes = 8 * 1024 * 1024)).use { large ->
+                large.awaitReady()
+                large.submit("r1", "x".repeat(3 * 1024 * 1024)).statusCode() shouldBe 413
+            }
             EntryFixture(http = HttpSettings(maxBufferedBodyBytes = 10)).use { small ->
                 small.awaitReady()
                 small.submit("r1", "x".repeat(11)).body() shouldContain "too_many_bytes"
--- a/src/test/kotlin/dev/jackdawdale/wire/ControlClientTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/wire/ControlClientTest.kt
@@ -98,6 +98,30 @@
             leader.close()
         }
 
+        test("a reply that no frame can hold becomes an error at once, not a timeout") {
+            val leader = leader()
+            val long = "x".repeat(5 * 1024 * 1024)
+            leader.onQuery = { Reply.Queue(listOf(QueueEntry(WorkId("acme/r"), 0, 1, long)), 1, 0) }
+            client(leader).use { client ->
+                client.query(Query.Queue(), timeoutMs = 60_000)
+                    .shouldBeInstanceOf<Reply.Refused>()
+            }
+            leader.close()
+        }
+
+        test("a session with a leader that went silent is given up and opened again") {
+            val silent = loopbackPeer("c1").copy(heartbeatMs = 3_600_000)
+            val leader = LoopbackLeader(silent).apply { start() }
+            leader.confirms = false
+            val settings = loopbackPeer("h1", leader.port).copy(sessionSilenceMs = 100)
+            val callbacks = ControlClientCallbacks({ emptyList() }, { }, { }, { })
+            controlClient(settings.copy(heartbeatMs = 20), callbacks).use { client ->
+                client.start()
+                eventually(patience) { (leader.opened.size >= 3) shouldBe true }
+            }
+            leader.close()
+        }
+
         test("a call that no session took is refused: it was not run and never will be") {
             val leader = leader()
             leader.onOpen = { ControlMessage.NotLeader(null) }
--- a/src/test/kotlin/dev/jackdawdale/wire/HandshakeTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/wire/HandshakeTest.kt
@@ -78,7 +78,7 @@
             ) { (client, reason) ->
                 Listener().use { listener ->
                     val selector = SelectorManager(Dispatchers.IO)
-                    val types = LinkTypes(String.serializer(), String.serializer()) { 1 }
+                    val types = LinkTypes(String.serializer(), String.serializer(), { 1 })
                     val address = PeerAddress("127.0.0.1", listener.network.port)
                     shouldThrow<HandshakeFailed> {
                         dial(selector, client, Role.ENTRY, HostId("c1"), address, types)
