Log refusals of strangers at debug level and keep httpServer's order

Cause: each malformed handshake wrote a warning, so random bytes on the peer port could fill the log, and every stop warned that it cannot accept a connection. The wiring in the host process already passes the token lookup before the registry.

Change: only refusals that point to wrong settings are warnings; a closed listener ends quietly; the parameters of httpServer are back in the order that the host process uses.

--- a/src/main/kotlin/dev/jackdawdale/bench/EntryChild.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/EntryChild.kt
@@ -21,7 +21,7 @@
     val host = entryHost(EntrySettings(), loopbackPeer("h1", args.first().toInt()), registry)
     val settings = HttpSettings(authMode = AuthMode.NONE)
     val routes = host.routes + processRoutes(registry, host::notReadyBecause) { "[]" }
-    val server = httpServer(settings, routes, registry, host::customerTokens)
+    val server = httpServer(settings, routes, host::customerTokens, registry)
     host.start()
     server.start()
     while (host.notReadyBecause() != null) Thread.sleep(READY_POLL_MS)
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpServer.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpServer.kt
@@ -119,8 +119,8 @@
 internal fun httpServer(
     settings: HttpSettings,
     routes: List<Route>,
-    registry: MeterRegistry = CompositeMeterRegistry(),
-    customerTokens: (CustomerId) -> CustomerTokens = { CustomerTokens.Stale }
+    customerTokens: (CustomerId) -> CustomerTokens = { CustomerTokens.Stale },
+    registry: MeterRegistry = CompositeMeterRegistry()
 ): HttpServer {
     val authenticator = Authenticator(settings, customerTokens)
     val context =
--- a/src/main/kotlin/dev/jackdawdale/wire/PeerNetwork.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/PeerNetwork.kt
@@ -19,11 +19,20 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.KSerializer
+import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.wire")
 private const val ACCEPT_RETRY_MS = 50L
 
+/** Reasons that point to wrong settings of a member. */
+private val settingsRefusals = setOf(
+    HandshakeRefusal.WRONG_VERSION,
+    HandshakeRefusal.WRONG_CLUSTER,
+    HandshakeRefusal.WRONG_KEY,
+    HandshakeRefusal.WRONG_HOST
+)
+
 /**
  * What the control side does with what arrives. The functions are called on transport threads, in
  * order for each peer, and must not block.
@@ -54,6 +63,9 @@
     private val unproved = AtomicInteger()
     private var server: ServerSocket? = null
 
+    @Volatile
+    private var closed = false
+
     /** The port that this host listens on, known after [start]. */
     val port: Int
         get() = (server?.localAddress as? InetSocketAddress)?.port ?: settings.port
@@ -84,6 +96,7 @@
     fun isConnected(hostId: HostId): Boolean = outgoing[hostId]?.isConnected ?: false
 
     override fun close() {
+        closed = true
         outgoing.values.forEach { it.close() }
         sessions.closeAll("the host is stopping")
         server?.close()
@@ -98,7 +111,7 @@
                 scope.launch { serve(socket) }
             } catch (e: Exception) {
                 currentCoroutineContext().ensureActive()
-                if (listening.socketContext.isCompleted) return
+                if (closed) return
                 log.warn("cannot accept a connection: {}", e.message)
                 delay(ACCEPT_RETRY_MS)
             }
@@ -114,7 +127,9 @@
                 Role.ENTRY -> serveEntry(raw, peer)
             }
         } catch (e: HandshakeFailed) {
-            log.warn("{} from {}", e.message, socket.remoteAddress)
+            // Any stranger can cause the other reasons, as often as it likes.
+            val level = if (e.reason in settingsRefusals) Level.WARN else Level.DEBUG
+            log.log(level, "{} from {}", e.message, socket.remoteAddress)
         } catch (e: Exception) {
             currentCoroutineContext().ensureActive()
             log.debug("connection from {} ended: {}", socket.remoteAddress, e.message)
--- a/src/test/kotlin/dev/jackdawdale/entry/EntryFixture.kt
+++ b/src/test/kotlin/dev/jackdawdale/entry/EntryFixture.kt
@@ -88,8 +88,8 @@
     val server = httpServer(
         http.withHashes(),
         host.routes + processRoutes(registry, host::notReadyBecause) { "[\"$it\"]" },
-        registry,
-        host::customerTokens
+        host::customerTokens,
+        registry
     ).apply { start() }
     private val client = HttpClient.newHttpClient()
 
