Let a sample worker exit with 0 after SIGTERM

Logging is now set up before the hook is registered; an integration test with a real worker guards it.

--- a/src/main/kotlin/dev/jackdawdale/cli/RunUntilStopped.kt
+++ b/src/main/kotlin/dev/jackdawdale/cli/RunUntilStopped.kt
@@ -8,6 +8,8 @@
  * 0. It returns only when the waiting thread is interrupted.
  */
 internal fun runUntilStopped(onStop: () -> Unit) {
+    // Logging registers a shutdown hook when it is first used, which fails during the shutdown.
+    LogManager.getContext(false)
     val hook = Thread {
         try {
             onStop()
--- a/src/test/kotlin/dev/jackdawdale/testing/SampleProcessesIT.kt
+++ b/src/test/kotlin/dev/jackdawdale/testing/SampleProcessesIT.kt
@@ -61,6 +61,22 @@
             }
         }
 
+        // A hook that used logging for the first time failed, and the status was 143.
+        test("a worker that gets SIGTERM reports its last tasks and exits with 0") {
+            TestCell(CellPlan(controls = 1, entries = 1)).use { cell ->
+                val reply = FakeAnswer(200, snakeJson.encodeToString(WorkerOrders(10_000)))
+                FakeEntryHost(cell.hosts.last().http) {
+                    Thread.sleep(LEASE_MS / 6)
+                    reply
+                }.use { host ->
+                    val process = cell.startWorker("w1", "--poll-ms", "100")
+                    cell.awaitUntil("w1 announced", 30_000) { host.calls.isNotEmpty() }
+                    process.terminate() shouldBe 0
+                    host.calls.last().body.contains("\"leaving\":true") shouldBe true
+                }
+            }
+        }
+
         test("a worker that was frozen past its lease reports that its task ended with the lease") {
             TestCell(CellPlan(controls = 1, entries = 1)).use { cell ->
                 val start = TaskOrder("start", "c/j#0", 1, 100, 10, 0, 60_000, "run_ms=60000")
