Bound trial runs of customers whose work is mostly long

A caller that gives every request a new kind had each of its long runs taken as short work until the short bound. Making them long at once was tried first and kept the first check of such a customer behind its long runs.

A request whose deadline was close from the start was late from the start; it now counts as late only after half of its time. Late requests of a customer at its running limit no longer keep other late requests from spare slots.

--- a/src/main/kotlin/dev/jackdawdale/estimates/RunTimes.kt
+++ b/src/main/kotlin/dev/jackdawdale/estimates/RunTimes.kt
@@ -22,27 +22,42 @@
     val typicalMs: Long get() = exp(logMs).toLong()
 }
 
-/** Measured run times of requests. Keys beyond [MAX_RUN_TIME_KEYS] push out the oldest. */
+/**
+ * Measured run times of requests. Keys beyond [MAX_RUN_TIME_KEYS] push out the oldest.
+ *
+ * @property overall run times of each customer and service over all kinds
+ */
 internal data class RunTimes(
-    private val byKey: PersistentMap<RunTimeKey, RunTime> = persistentMapOf()
+    private val byKey: PersistentMap<RunTimeKey, RunTime> = persistentMapOf(),
+    private val overall: PersistentMap<RunTimeKey, RunTime> = persistentMapOf()
 ) {
     /** The typical run time of [key] in milliseconds, or null until one was measured. */
     fun typicalMs(key: RunTimeKey): Long? = byKey[key]?.typicalMs
 
+    /** The typical run time over all kinds of the customer and service of [key]. */
+    fun overallMs(key: RunTimeKey): Long? = overall[key.copy(kind = "")]?.typicalMs
+
     /** Adds one measured run of [runTimeMs]. */
-    fun measured(key: RunTimeKey, runTimeMs: Long): RunTimes {
-        val sample = ln(maxOf(runTimeMs, 1).toDouble())
-        val known = byKey[key] ?: return RunTimes(bounded().put(key, RunTime(sample, 1)))
-        val gain = maxOf(1.0 / (known.samples + 1), LEAST_GAIN)
-        val step = (sample - known.logMs).coerceIn(-MAX_STEP, MAX_STEP)
-        val next = RunTime(known.logMs + gain * step, known.samples + 1)
-        return RunTimes(byKey.put(key, next))
-    }
-
-    private fun bounded(): PersistentMap<RunTimeKey, RunTime> =
-        if (byKey.size < MAX_RUN_TIME_KEYS) byKey else byKey.remove(byKey.keys.first())
+    fun measured(key: RunTimeKey, runTimeMs: Long): RunTimes = RunTimes(
+        byKey.measured(key, runTimeMs),
+        overall.measured(key.copy(kind = ""), runTimeMs)
+    )
+}
+
+private fun PersistentMap<RunTimeKey, RunTime>.measured(
+    key: RunTimeKey,
+    runTimeMs: Long
+): PersistentMap<RunTimeKey, RunTime> {
+    val sample = ln(maxOf(runTimeMs, 1).toDouble())
+    val known = this[key] ?: return bounded().put(key, RunTime(sample, 1))
+    val gain = maxOf(1.0 / (known.samples + 1), LEAST_GAIN)
+    val step = (sample - known.logMs).coerceIn(-MAX_STEP, MAX_STEP)
+    return put(key, RunTime(known.logMs + gain * step, known.samples + 1))
 }
 
+private fun PersistentMap<RunTimeKey, RunTime>.bounded(): PersistentMap<RunTimeKey, RunTime> =
+    if (size < MAX_RUN_TIME_KEYS) this else remove(keys.first())
+
 /** Callers choose the kinds, so their number must be bounded. */
 internal const val MAX_RUN_TIME_KEYS = 20_000
 
--- a/src/main/kotlin/dev/jackdawdale/routing/Group.kt
+++ b/src/main/kotlin/dev/jackdawdale/routing/Group.kt
@@ -34,6 +34,7 @@
  *
  * @property running placed requests of the group
  * @property onTrial no run time was measured yet; only a few may run as short work
+ * @property demoted counts as long until measured, see [exceedsTrials]
  * @property declaredMs what the last accepted request declared
  */
 internal data class Group(
@@ -41,6 +42,7 @@
     val running: Int = 0,
     val size: SizeClass = SizeClass.SHORT,
     val onTrial: Boolean = true,
+    val demoted: Boolean = false,
     val declaredMs: Long? = null
 )
 
@@ -51,8 +53,8 @@
 }
 
 /**
- * The group with the size class that [runTimes] gives it. Without a measurement only a declared
- * time so long that no usual error makes it short counts as long.
+ * The group with the size class that [runTimes] gives it. Without a measurement it is long when
+ * a declared time is so long that no usual error makes it short, or when it is demoted.
  */
 internal fun Group.classified(
     key: RunTimeKey,
@@ -63,7 +65,7 @@
     val isLong = if (measuredMs != null) {
         measuredMs > settings.shortBoundMs
     } else {
-        (declaredMs ?: 0) > settings.shortBoundMs * settings.declaredFactor
+        demoted || (declaredMs ?: 0) > settings.shortBoundMs * settings.declaredFactor
     }
     return copy(
         size = if (isLong) SizeClass.LONG else SizeClass.SHORT,
--- a/src/main/kotlin/dev/jackdawdale/routing/RoutePass.kt
+++ b/src/main/kotlin/dev/jackdawdale/routing/RoutePass.kt
@@ -1,5 +1,6 @@
 package dev.jackdawdale.routing
 
+import dev.jackdawdale.estimates.RunTimeKey
 import dev.jackdawdale.estimates.runTimeKey
 import dev.jackdawdale.model.CellState
 import dev.jackdawdale.model.CustomerId
@@ -57,15 +58,17 @@
             val customerId = nextCustomer(name, size) ?: return null
             val head = current.service(name).queue(size).headOf(customerId) ?: return null
             val work = state.requests[head.workId] ?: return null
+            val isShort = size == SizeClass.SHORT
             if (isLate(work)) {
                 move(head.workId, Standing.Late)
-                continue
+            } else if (isShort && current.exceedsTrials(work.spec.runTimeKey)) {
+                demote(work.spec.runTimeKey)
+            } else {
+                val choice = choose(work, size)
+                if (choice != null || work.failedOn.isEmpty()) return choice
+                // Only this request cannot go to the endpoints that are free; others may.
+                move(head.workId, Standing.Paused(nowMs + current.settings.parkMs))
             }
-            val choice = choose(work, size)
-            if (choice != null) return choice
-            if (work.failedOn.isEmpty()) return null
-            // Only this request cannot go to the endpoints that are free; others may.
-            move(head.workId, Standing.Paused(nowMs + current.settings.parkMs))
         }
         return null
     }
@@ -97,16 +100,24 @@
     /**
      * Half of the runs of a kind are longer than the typical one. Under overload, earliest
      * deadline first serves what is about to be late: with half of the typical run time as the
-     * limit, two thirds of the work done at ten times the demand was late.
+     * limit, only a third of the capacity did useful work at ten times the demand. A request
+     * whose deadline was close from the start is late only after half of its time.
      */
     private fun isLate(work: RequestWork): Boolean {
         val typicalMs = current.runTimes.typicalMs(work.spec.runTimeKey) ?: return false
-        return work.spec.deadlineMs - nowMs < typicalMs * current.settings.lateFactor
+        val allowedMs = work.spec.deadlineMs - work.acceptedAtMs
+        val safeMs = typicalMs * current.settings.lateFactor
+        val limitMs = minOf(safeMs, maxOf(typicalMs / 2.0, allowedMs / 2.0))
+        return work.spec.deadlineMs - nowMs < limitMs
     }
 
-    private fun nextLate(name: ServiceName): Choice? {
-        val first = current.service(name).late.firstOrNull() ?: return null
-        val work = state.requests[first.workId] ?: return null
+    /** Late requests that cannot be placed must not keep all others from the spare slots. */
+    private fun nextLate(name: ServiceName): Choice? =
+        current.service(name).late.asSequence().take(LATE_SCAN).firstNotNullOfOrNull { key ->
+            state.requests[key.workId]?.let { lateChoice(name, it) }
+        }
+
+    private fun lateChoice(name: ServiceName, work: RequestWork): Choice? {
         if (!current.mayRun(work.spec.customerId)) return null
         val size = current.sizeOf(work.spec.runTimeKey)
         return if (hasRoom(name, size)) choose(work, size) else null
@@ -119,6 +130,11 @@
         return Choice(work, load.endpointId, load.incarnation)
     }
 
+    private fun demote(key: RunTimeKey) {
+        current = current.demoted(key)
+        timed = timed.demoted(key)
+    }
+
     /** A change by time alone: it also holds when the events of this pass are not appended. */
     private fun move(workId: WorkId, standing: Standing) {
         current = current.moved(workId, standing)
@@ -126,5 +142,9 @@
     }
 }
 
+private const val LATE_SCAN = 16
+
 private val shortThenLong = listOf(SizeClass.SHORT, SizeClass.LONG)
-private val longThenShort = listOf(SizeClass.LONG, SizeClass.SHORT)
+
+// Looking for short work can make some of it long, so long work comes again.
+private val longThenShort = listOf(SizeClass.LONG, SizeClass.SHORT, SizeClass.LONG)
--- a/src/main/kotlin/dev/jackdawdale/routing/RoutingQueues.kt
+++ b/src/main/kotlin/dev/jackdawdale/routing/RoutingQueues.kt
@@ -158,7 +158,16 @@
     val customerId = key.customerId
     val expectedMs = runTimes.typicalMs(key) ?: settings.shortBoundMs
     val chargedMs = expectedMs.toDouble() / weightOf(customerId)
-    val run = PlacedRun(key, placement.endpointId, placement.placedAtMs, size, size, chargedMs)
+    val group = group(key)
+    val run = PlacedRun(
+        group = key,
+        endpointId = placement.endpointId,
+        placedAtMs = placement.placedAtMs,
+        size = size,
+        onTrial = group.onTrial && size == SizeClass.SHORT,
+        chargedAs = size,
+        chargedMs = chargedMs
+    )
     val service = service(key.service)
     val queue = service.queue(size).served(customerId)
         .charged(customerId, chargedMs, settings.maxDebtMs)
@@ -173,15 +182,36 @@
     } else {
         used
     }
-    val group = group(key)
     val workId = work.spec.workId
     return copy(placed = placed.put(workId, run))
         .withService(key.service, service.withQueue(size, queue).copy(pool = pool))
         .withGroup(key, group.copy(running = group.running + 1))
         .let { if (size == SizeClass.SHORT) it.watched(workId, run) else it }
+        .trialsChanged(run, 1)
         .runningChanged(customerId, 1)
 }
 
+private fun RoutingState.trialsChanged(run: PlacedRun, change: Int): RoutingState {
+    if (!run.onTrial) return this
+    val key = run.group.copy(kind = "")
+    val count = (trials[key] ?: 0) + change
+    return copy(trials = if (count > 0) trials.put(key, count) else trials.remove(key))
+}
+
+/**
+ * True for an unmeasured kind of a customer whose work is mostly long, while it has other kinds on
+ * trial: a new kind for every request must not make long work short.
+ */
+internal fun RoutingState.exceedsTrials(key: RunTimeKey): Boolean = group(key).onTrial &&
+    (trials[key.copy(kind = "")] ?: 0) >= settings.trialRuns &&
+    (runTimes.overallMs(key) ?: 0) > settings.shortBoundMs
+
+/** The group counts as long until it is measured. */
+internal fun RoutingState.demoted(key: RunTimeKey): RoutingState {
+    val group = group(key).copy(demoted = true)
+    return withGroup(key, group.classified(key, runTimes, settings))
+}
+
 private fun RoutingState.countsAsLongAt(run: PlacedRun): Long =
     run.placedAtMs + settings.shortBoundMs
 
@@ -208,6 +238,7 @@
     )
         .withService(key.service, service.withQueue(run.chargedAs, queue).copy(pool = pool))
         .withGroup(key, group.copy(running = group.running - 1))
+        .trialsChanged(run, -1)
         .runningChanged(customerId, -1)
 }
 
--- a/src/main/kotlin/dev/jackdawdale/routing/RoutingState.kt
+++ b/src/main/kotlin/dev/jackdawdale/routing/RoutingState.kt
@@ -44,6 +44,7 @@
  * A placed request.
  *
  * @property size class that it counts as now
+ * @property onTrial it runs as short work of a kind without a measurement
  * @property chargedAs class under which its customer was charged
  * @property chargedMs slot time that its customer was charged for it
  */
@@ -52,6 +53,7 @@
     val endpointId: EndpointId,
     val placedAtMs: Long,
     val size: SizeClass,
+    val onTrial: Boolean,
     val chargedAs: SizeClass,
     val chargedMs: Double
 )
@@ -82,6 +84,7 @@
  * What routing remembers beside the replicated state.
  *
  * @property running placed requests of each customer, over all services
+ * @property trials placed requests on trial of each customer and service (the kind is empty)
  * @property deadlines waiting requests by their deadline
  * @property pauses requests with [Standing.Paused] by the end of the pause
  * @property shortRuns placed short requests by the time at which they count as long
@@ -94,6 +97,7 @@
     val placed: PersistentMap<WorkId, PlacedRun> = persistentHashMapOf(),
     val running: PersistentMap<CustomerId, Int> = persistentHashMapOf(),
     val limits: PersistentMap<CustomerId, RunLimit> = persistentHashMapOf(),
+    val trials: PersistentMap<RunTimeKey, Int> = persistentHashMapOf(),
     val deadlines: SortedTree<Timed> = sortedTreeOf(),
     val pauses: SortedTree<Timed> = sortedTreeOf(),
     val shortRuns: SortedTree<Timed> = sortedTreeOf(),
