Hold the slot of a broken attempt until the endpoint cannot run it any more

Cause: RequestFaultsIT row 'endpoint connections reset' showed 5 requests in 4 slots (14 violations): a slot was freed when the connection broke, although the endpoint may go on with the request. Ruled out: a counting error in routing; the placements matched the replicated state. An endpoint's announcement may carry the attempts it runs; the sample endpoint does.

--- a/src/main/kotlin/dev/jackdawdale/admission/AdmissionObserve.kt
+++ b/src/main/kotlin/dev/jackdawdale/admission/AdmissionObserve.kt
@@ -30,6 +30,7 @@
     ).requestChanged(event.workId, before, after)
     is Event.EndpointJoined -> endpointChanged(event.info.endpointId, before, after)
     is Event.EndpointPhaseChanged -> endpointChanged(event.endpointId, before, after)
+    is Event.AbandonedSlotsFreed -> endpointChanged(event.endpointId, before, after)
     is Event.ContractChanged -> contractChanged(event.contract, nowMs)
     is Event.JobAccepted ->
         unplacedChanged(event.spec.customerId, event.spec.workId, event.spec.taskCount)
--- a/src/main/kotlin/dev/jackdawdale/bench/Main.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/Main.kt
@@ -9,7 +9,10 @@
 
 private val measurements: Map<String, Measurement> = mapOf(
     "entry" to ::measureEntry,
-    "head-of-line" to ::headOfLine
+    "head-of-line" to ::headOfLine,
+    "crest" to ::crest,
+    "cancel-wave" to ::cancelWave,
+    "route-cost" to ::routeCost
 )
 
 /** Runs the measurement named by the first argument, or all of them. */
--- a/src/main/kotlin/dev/jackdawdale/control/CommandHandler.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/CommandHandler.kt
@@ -8,6 +8,7 @@
 import dev.jackdawdale.admission.isSameJob
 import dev.jackdawdale.admission.isSameRequest
 import dev.jackdawdale.membership.decideEndpointAnnouncement
+import dev.jackdawdale.membership.decideReportedSlots
 import dev.jackdawdale.model.Asked
 import dev.jackdawdale.model.CustomerId
 import dev.jackdawdale.model.EndpointPhase
@@ -186,6 +187,9 @@
     ) {
         val id = command.info.endpointId
         pass.emitAll(decideEndpointAnnouncement(pass.state, command.info, command.leaving))
+        command.running?.let { running ->
+            pass.emitAll(decideReportedSlots(pass.state, command.info, running, pass.nowMs))
+        }
         leading.endpointHeardMs[id] = pass.nowMs
         val phase = pass.state.endpoints[id]?.phase ?: EndpointPhase.GONE
         pass.whenDurable { call.reply(Reply.EndpointAnnounced(phase)) }
--- a/src/main/kotlin/dev/jackdawdale/control/PassDecisions.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/PassDecisions.kt
@@ -1,5 +1,6 @@
 package dev.jackdawdale.control
 
+import dev.jackdawdale.membership.decideExpiredSlots
 import dev.jackdawdale.membership.decideSilentEndpoints
 import dev.jackdawdale.model.EntryHost
 import dev.jackdawdale.model.Event
@@ -72,6 +73,7 @@
     }
     val heardBeforeMs = nowMs - settings.endpointTimeoutMs
     emitAll(decideSilentEndpoints(state, leading.endpointHeardMs, heardBeforeMs))
+    emitAll(decideExpiredSlots(state, nowMs))
 }
 
 private fun Pass.loseEntryHost(hostId: HostId) {
--- a/src/main/kotlin/dev/jackdawdale/entry/MemberRoutes.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/MemberRoutes.kt
@@ -4,6 +4,7 @@
 import dev.jackdawdale.model.EndpointInfo
 import dev.jackdawdale.model.EndpointPhase
 import dev.jackdawdale.model.FailureDomain
+import dev.jackdawdale.model.FencingToken
 import dev.jackdawdale.model.ServiceName
 import dev.jackdawdale.model.WorkerId
 import dev.jackdawdale.wire.Command
@@ -26,7 +27,8 @@
     val slots: Int,
     val connections: Int,
     val failureDomain: String = "",
-    val leaving: Boolean = false
+    val leaving: Boolean = false,
+    val running: List<Long>? = null
 )
 
 /** Answer to an endpoint's announcement. */
@@ -40,7 +42,11 @@
         val info = announced.toInfo(EndpointId(call.pathId("id")))
         // Not sent again on a later session: by then the endpoint may have announced its leave.
         val reply = host.client.call(
-            Command.AnnounceEndpoint(info, announced.leaving),
+            Command.AnnounceEndpoint(
+                info,
+                announced.leaving,
+                announced.running?.map(::FencingToken)
+            ),
             ANNOUNCE_TIMEOUT_MS,
             resend = false
         )
--- a/src/main/kotlin/dev/jackdawdale/host/CommittedEvents.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/CommittedEvents.kt
@@ -176,6 +176,8 @@
         details = "${before.endpoints[event.endpointId]?.phase} to ${event.phase}"
     )
 
+    is Event.AbandonedSlotsFreed -> Unit
+
     is Event.WorkerJoined -> record(EventKind.MEMBER_JOINED, "${event.info.workerId}")
 
     is Event.WorkerPhaseChanged ->
--- a/src/main/kotlin/dev/jackdawdale/model/AppliedMembers.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/AppliedMembers.kt
@@ -1,6 +1,7 @@
 package dev.jackdawdale.model
 
 import kotlinx.collections.immutable.minus
+import kotlinx.collections.immutable.persistentHashMapOf
 
 internal fun CellState.applyEndpointJoined(event: Event.EndpointJoined): CellState {
     val info = event.info
@@ -9,7 +10,11 @@
     val joined = when {
         known == null -> Endpoint(info)
         sameProcess -> known.copy(info = info)
-        else -> known.copy(info = info, phase = phaseAfterRestart(known.phase))
+        else -> known.copy(
+            info = info,
+            phase = phaseAfterRestart(known.phase),
+            abandoned = persistentHashMapOf()
+        )
     }
     return copy(endpoints = endpoints.put(info.endpointId, joined))
 }
@@ -21,11 +26,20 @@
 internal fun CellState.applyEndpointPhaseChanged(event: Event.EndpointPhaseChanged): CellState {
     val endpoint = endpoints[event.endpointId] ?: return this
     if (endpoint.info.incarnation != event.incarnation) return this
-    if (event.phase == EndpointPhase.GONE && endpoint.inFlight.isEmpty()) {
-        return copy(endpoints = endpoints - event.endpointId)
-    }
-    val changed = endpoint.copy(phase = event.phase)
-    return copy(endpoints = endpoints.put(event.endpointId, changed))
+    return withEndpoint(endpoint.copy(phase = event.phase))
+}
+
+internal fun CellState.applyAbandonedSlotsFreed(event: Event.AbandonedSlotsFreed): CellState {
+    val endpoint = endpoints[event.endpointId] ?: return this
+    if (endpoint.info.incarnation != event.incarnation) return this
+    return withEndpoint(endpoint.copy(abandoned = endpoint.abandoned - event.tokens))
+}
+
+/** Keeps a changed endpoint; one that is gone is forgotten once nothing can run on it. */
+internal fun CellState.withEndpoint(endpoint: Endpoint): CellState {
+    val id = endpoint.info.endpointId
+    val isForgotten = endpoint.phase == EndpointPhase.GONE && endpoint.heldSlots == 0
+    return copy(endpoints = if (isForgotten) endpoints - id else endpoints.put(id, endpoint))
 }
 
 internal fun CellState.applyWorkerJoined(event: Event.WorkerJoined): CellState {
--- a/src/main/kotlin/dev/jackdawdale/model/AppliedRequests.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/AppliedRequests.kt
@@ -35,7 +35,7 @@
         .releaseSlot(placement.endpointId, event.workId)
 }
 
-internal fun CellState.applyRequestRetried(event: Event.RequestRetried): CellState {
+internal fun CellState.applyRequestRetried(event: Event.RequestRetried, atMs: Long): CellState {
     val work = requests[event.workId] ?: return this
     val placement = work.placement
     if (placement == null || placement.token != event.token) return this
@@ -44,7 +44,8 @@
         notBeforeMs = event.notBeforeMs,
         failedOn = work.failedOn + placement.endpointId
     )
-    return copy(requests = requests.put(event.workId, waiting))
+    val held = if (event.mayStillRun) abandonSlot(work, placement, atMs) else this
+    return held.copy(requests = requests.put(event.workId, waiting))
         .releaseSlot(placement.endpointId, event.workId)
 }
 
@@ -64,7 +65,31 @@
         nextRecordNumber = nextRecordNumber + 1
     )
     val placement = work.placement ?: return ended
-    return ended.releaseSlot(placement.endpointId, event.workId)
+    val held = if (event.mayStillRun) ended.abandonSlot(work, placement, atMs) else ended
+    return held.releaseSlot(placement.endpointId, event.workId)
+}
+
+/** Without a whole answer the endpoint may go on with the attempt. */
+private val Event.RequestEnded.mayStillRun: Boolean
+    get() = answer == null &&
+        when (val end = outcome) {
+            is Outcome.MayHaveRun -> true
+            is Outcome.Cancelled -> end.mayHaveRun
+            else -> false
+        }
+
+/** Keeps the slot of a given-up attempt, unless the endpoint's process has been replaced. */
+private fun CellState.abandonSlot(
+    work: RequestWork,
+    placement: RequestPlacement,
+    atMs: Long
+): CellState {
+    val endpoint = endpoints[placement.endpointId] ?: return this
+    val isSameProcess = endpoint.info.incarnation == placement.endpointIncarnation
+    if (!isSameProcess || work.spec.deadlineMs <= atMs) return this
+    val slot = AbandonedSlot(sinceMs = atMs, untilMs = work.spec.deadlineMs)
+    val holding = endpoint.copy(abandoned = endpoint.abandoned.put(placement.token, slot))
+    return copy(endpoints = endpoints.put(placement.endpointId, holding))
 }
 
 private fun CellState.occupySlot(endpointId: EndpointId, workId: WorkId): CellState {
@@ -75,9 +100,5 @@
 
 private fun CellState.releaseSlot(endpointId: EndpointId, workId: WorkId): CellState {
     val endpoint = endpoints[endpointId] ?: return this
-    val idler = endpoint.copy(inFlight = endpoint.inFlight - workId)
-    if (idler.phase == EndpointPhase.GONE && idler.inFlight.isEmpty()) {
-        return copy(endpoints = endpoints - endpointId)
-    }
-    return copy(endpoints = endpoints.put(endpointId, idler))
+    return withEndpoint(endpoint.copy(inFlight = endpoint.inFlight - workId))
 }
--- a/src/main/kotlin/dev/jackdawdale/model/CellCodec.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/CellCodec.kt
@@ -75,7 +75,8 @@
 private data class EndpointSnapshot(
     val info: EndpointInfo,
     val phase: EndpointPhase,
-    val inFlight: List<WorkId>
+    val inFlight: List<WorkId>,
+    val abandoned: Map<FencingToken, AbandonedSlot>
 )
 
 private fun CellState.toSnapshot() = CellSnapshot(
@@ -90,7 +91,7 @@
         WorkerSnapshot(it.info, it.phase, it.allocated, it.taskIds.toList())
     },
     endpoints = endpoints.values.map {
-        EndpointSnapshot(it.info, it.phase, it.inFlight.toList())
+        EndpointSnapshot(it.info, it.phase, it.inFlight.toList(), it.abandoned)
     },
     entryHosts = entryHosts.values.toList(),
     nextToken = nextToken,
@@ -111,7 +112,9 @@
         it.info.workerId to Worker(it.info, it.phase, it.allocated, ids)
     }.toPersistentHashMap(),
     endpoints = endpoints.associate {
-        it.info.endpointId to Endpoint(it.info, it.phase, it.inFlight.toPersistentHashSet())
+        val inFlight = it.inFlight.toPersistentHashSet()
+        val abandoned = it.abandoned.toPersistentHashMap()
+        it.info.endpointId to Endpoint(it.info, it.phase, inFlight, abandoned)
     }.toPersistentHashMap(),
     entryHosts = entryHosts.associateBy { it.hostId }.toPersistentHashMap(),
     nextToken = nextToken,
--- a/src/main/kotlin/dev/jackdawdale/model/Endpoint.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/Endpoint.kt
@@ -1,6 +1,8 @@
 package dev.jackdawdale.model
 
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentHashSetOf
 import kotlinx.serialization.Serializable
 
@@ -28,19 +30,33 @@
     val failureDomain: FailureDomain
 )
 
+/**
+ * The slot of an attempt whose connection broke: the endpoint may still be running it.
+ *
+ * @property sinceMs when the attempt was given up
+ * @property untilMs the request's deadline, after which the endpoint runs it no more
+ */
+@Serializable
+data class AbandonedSlot(val sinceMs: Long, val untilMs: Long)
+
 /**
  * An endpoint as the replicated state knows it.
  *
  * @property inFlight requests that hold one of its slots
+ * @property abandoned attempts that were given up and may still hold a slot
  */
 data class Endpoint(
     val info: EndpointInfo,
     val phase: EndpointPhase = EndpointPhase.ACTIVE,
-    val inFlight: PersistentSet<WorkId> = persistentHashSetOf()
+    val inFlight: PersistentSet<WorkId> = persistentHashSetOf(),
+    val abandoned: PersistentMap<FencingToken, AbandonedSlot> = persistentHashMapOf()
 )
 
+/** Slots that a request holds or may still hold. */
+val Endpoint.heldSlots: Int get() = inFlight.size + abandoned.size
+
 /** Slots that no request holds. */
-val Endpoint.freeSlots: Int get() = info.slots - inFlight.size
+val Endpoint.freeSlots: Int get() = info.slots - heldSlots
 
 /**
  * An entry host that dispatches requests.
--- a/src/main/kotlin/dev/jackdawdale/model/Event.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/Event.kt
@@ -45,6 +45,7 @@
      * The attempt [token] of an idempotent request failed: the request waits again.
      *
      * @property endpointFailed whether the endpoint, rather than the system, was the cause
+     * @property mayStillRun no whole answer came, so the attempt may still hold its slot
      */
     @Serializable
     @SerialName("requestRetried")
@@ -53,7 +54,8 @@
         val token: FencingToken,
         val notBeforeMs: Long,
         val reason: String,
-        val endpointFailed: Boolean = true
+        val endpointFailed: Boolean = true,
+        val mayStillRun: Boolean = true
     ) : Event
 
     /** The caller of a live request now waits at [entryHostId]. */
@@ -144,6 +146,15 @@
         val phase: EndpointPhase
     ) : Event
 
+    /** The endpoint no longer runs the abandoned attempts [tokens]: their slots are free. */
+    @Serializable
+    @SerialName("abandonedSlotsFreed")
+    data class AbandonedSlotsFreed(
+        val endpointId: EndpointId,
+        val incarnation: Long,
+        val tokens: List<FencingToken>
+    ) : Event
+
     @Serializable
     @SerialName("workerJoined")
     data class WorkerJoined(val info: WorkerInfo) : Event
--- a/src/main/kotlin/dev/jackdawdale/recovery/AttemptDecisions.kt
+++ b/src/main/kotlin/dev/jackdawdale/recovery/AttemptDecisions.kt
@@ -127,7 +127,8 @@
     } else {
         null
     }
-    return retry ?: Event.RequestEnded(workId, Outcome.Failed(reason), answer)
+    return retry?.copy(mayStillRun = false)
+        ?: Event.RequestEnded(workId, Outcome.Failed(reason), answer)
 }
 
 private fun notSent(work: RequestWork, placement: RequestPlacement): Event {
@@ -158,7 +159,7 @@
     placement: RequestPlacement,
     reason: String,
     nowMs: Long
-): Event? {
+): Event.RequestRetried? {
     val spec = work.spec
     val allowed = spec.idempotent &&
         work.attempts < recovery.settings.maxAttempts &&
--- a/src/main/kotlin/dev/jackdawdale/routing/RoutingObserve.kt
+++ b/src/main/kotlin/dev/jackdawdale/routing/RoutingObserve.kt
@@ -10,6 +10,7 @@
 import dev.jackdawdale.model.RequestPlacement
 import dev.jackdawdale.model.ServiceName
 import dev.jackdawdale.model.WorkId
+import dev.jackdawdale.model.heldSlots
 
 /** The state after [event], which led from [before] to [after]. */
 internal fun RoutingState.observe(
@@ -29,6 +30,7 @@
     is Event.ContractChanged -> withLimit(event.contract)
     is Event.EndpointJoined -> endpointChanged(event.info.endpointId, before, after)
     is Event.EndpointPhaseChanged -> endpointChanged(event.endpointId, before, after)
+    is Event.AbandonedSlotsFreed -> endpointChanged(event.endpointId, before, after)
     else -> this
 }
 
@@ -139,7 +141,7 @@
         incarnation = info.incarnation,
         active = endpoint.phase == EndpointPhase.ACTIVE,
         capacity = minOf(info.slots, info.connections),
-        inFlight = endpoint.inFlight.size,
+        inFlight = endpoint.heldSlots,
         longRunning = known?.longRunning ?: 0,
         lastUsed = known?.lastUsed ?: 0
     )
--- a/src/main/kotlin/dev/jackdawdale/standin/SampleEndpoint.kt
+++ b/src/main/kotlin/dev/jackdawdale/standin/SampleEndpoint.kt
@@ -1,6 +1,7 @@
 package dev.jackdawdale.standin
 
 import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
@@ -18,7 +19,8 @@
     val slots: Int,
     val connections: Int,
     val failureDomain: String,
-    val leaving: Boolean
+    val leaving: Boolean,
+    val running: List<Long>
 )
 
 /**
@@ -36,6 +38,7 @@
     }
     private val leaving = AtomicBoolean()
     private val inFlight = AtomicInteger()
+    private val runningTokens = ConcurrentHashMap.newKeySet<Long>()
     private val random = Random(options.seed)
     private var received = 0L
     private val server = EndpointServer(RunListener(::plan, ::started, ::ended))
@@ -79,7 +82,8 @@
                 options.slots,
                 options.connections,
                 options.failureDomain,
-                leaving.get()
+                leaving.get(),
+                runningTokens.toList()
             )
         )
         val path = "/v1/endpoints/${options.id}/announce"
@@ -121,12 +125,14 @@
     private fun isEvery(count: Int): Boolean = count > 0 && received % count == 0L
 
     private fun started(run: Run) {
+        runningTokens += run.token
         val inUse = inFlight.incrementAndGet()
         write(JournalEvent.START) { it.of(run).copy(inUse = inUse) }
     }
 
     private fun ended(run: Run, result: String) {
         val inUse = inFlight.decrementAndGet()
+        runningTokens -= run.token
         write(JournalEvent.END) { it.of(run).copy(inUse = inUse, result = result) }
     }
 
--- a/src/main/kotlin/dev/jackdawdale/wire/Command.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/Command.kt
@@ -6,6 +6,7 @@
 import dev.jackdawdale.model.CustomerId
 import dev.jackdawdale.model.EndpointId
 import dev.jackdawdale.model.EndpointInfo
+import dev.jackdawdale.model.FencingToken
 import dev.jackdawdale.model.JobSpec
 import dev.jackdawdale.model.ReportedEnd
 import dev.jackdawdale.model.ReportedTask
@@ -59,9 +60,14 @@
         val contract: Contract
     ) : Command
 
+    /** @property running attempts that the endpoint runs now, or null when it does not say */
     @Serializable
     @SerialName("announceEndpoint")
-    data class AnnounceEndpoint(val info: EndpointInfo, val leaving: Boolean) : Command
+    data class AnnounceEndpoint(
+        val info: EndpointInfo,
+        val leaving: Boolean,
+        val running: List<FencingToken>? = null
+    ) : Command
 
     /**
      * One poll of a worker.
