--- a/src/main/kotlin/dev/jackdawdale/bench/VirtualCell.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/RequestCell.kt
@@ -30,7 +30,7 @@
  * A cell's replicated state with the soft states of the request decisions, driven by direct calls
  * as the control thread of a leader drives them.
  */
-internal class VirtualCell(
+internal class RequestCell(
     var nowMs: Long = 0,
     private val routingSettings: RoutingSettings = RoutingSettings(),
     private val admissionSettings: AdmissionSettings = AdmissionSettings(),
--- a/src/main/kotlin/dev/jackdawdale/bench/RequestPolicy.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/RequestPolicy.kt
@@ -31,7 +31,7 @@
 
 /** The decision functions of the system. */
 internal class CellPolicy(contracts: List<Contract>, settings: RoutingSettings) : RequestPolicy {
-    private val cell = VirtualCell(routingSettings = settings)
+    private val cell = RequestCell(routingSettings = settings)
     private val hostId = HostId("e1")
     private val runs = HashMap<String, RequestRun>()
 
--- a/src/main/kotlin/dev/jackdawdale/bench/RouteCost.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/RouteCost.kt
@@ -20,8 +20,8 @@
 private const val ROUTE_WARM_UP = 20_000
 private const val ROUTE_CALLS = 20_000
 
-private fun waitingCell(random: Random, waiting: Int): VirtualCell {
-    val cell = VirtualCell(routingSettings = RoutingSettings(trialRuns = 1_000))
+private fun waitingCell(random: Random, waiting: Int): RequestCell {
+    val cell = RequestCell(routingSettings = RoutingSettings(trialRuns = 1_000))
     for (index in 0 until BENCH_CUSTOMERS) {
         val contract = benchContract("customer-$index")
         cell.append(Event.ContractChanged(ChangeId("change-$index"), contract))
@@ -33,7 +33,7 @@
     return cell
 }
 
-private fun submitOne(cell: VirtualCell, random: Random, index: Int) {
+private fun submitOne(cell: RequestCell, random: Random, index: Int) {
     val customer = "customer-${random.nextInt(BENCH_CUSTOMERS)}"
     val kind = "kind-${random.nextInt(KINDS)}"
     val deadlineInMs = random.nextLong(1_000_000, 3_000_000)
@@ -61,7 +61,7 @@
 }
 
 /** One request ends, another arrives, and the free slot is given away; nanoseconds of the last. */
-private fun routeStep(cell: VirtualCell, random: Random, index: Int): Long {
+private fun routeStep(cell: RequestCell, random: Random, index: Int): Long {
     cell.nowMs += 1
     val endpoint = cell.state.endpoints.values.random(random)
     val workId = endpoint.inFlight.random(random)
@@ -93,7 +93,7 @@
 private val waveSizes = listOf(1_000, 5_000, 20_000)
 
 /** Cancels all waiting requests in random order; microseconds for each. */
-private fun cancelAll(cell: VirtualCell, random: Random): Double {
+private fun cancelAll(cell: RequestCell, random: Random): Double {
     val specs = cell.state.requests.values.filter { it.placement == null }
         .map { it.spec }.shuffled(random)
     val startNanos = System.nanoTime()
--- a/src/test/kotlin/dev/jackdawdale/admission/RequestAdmissionTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/admission/RequestAdmissionTest.kt
@@ -1,6 +1,6 @@
 package dev.jackdawdale.admission
 
-import dev.jackdawdale.bench.VirtualCell
+import dev.jackdawdale.bench.RequestCell
 import dev.jackdawdale.model.ChangeId
 import dev.jackdawdale.model.Contract
 import dev.jackdawdale.model.Event
@@ -22,16 +22,16 @@
 
 private val host = HostId("e1")
 
-private fun cell(vararg contracts: Contract, maxQueued: Int = 50_000): VirtualCell {
-    val cell = VirtualCell(nowMs = 1_000, admissionSettings = AdmissionSettings(maxQueued))
+private fun cell(vararg contracts: Contract, maxQueued: Int = 50_000): RequestCell {
+    val cell = RequestCell(nowMs = 1_000, admissionSettings = AdmissionSettings(maxQueued))
     contracts.forEach { cell.append(Event.ContractChanged(ChangeId("c-${it.customerId}"), it)) }
     return cell
 }
 
-private fun VirtualCell.refusalOf(spec: RequestSpec): Refusal? =
+private fun RequestCell.refusalOf(spec: RequestSpec): Refusal? =
     (submit(spec, host) as? AdmissionDecision.Refused)?.refusal
 
-private fun VirtualCell.submitMany(customer: String, count: Int, deadlineMs: Long = 60_000) =
+private fun RequestCell.submitMany(customer: String, count: Int, deadlineMs: Long = 60_000) =
     repeat(count) { refusalOf(sampleRequest(customer, "$customer-$it", true, deadlineMs + it)) }
 
 private data class RefusalCase(
--- a/src/test/kotlin/dev/jackdawdale/recovery/AttemptDecisionsTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/recovery/AttemptDecisionsTest.kt
@@ -1,6 +1,6 @@
 package dev.jackdawdale.recovery
 
-import dev.jackdawdale.bench.VirtualCell
+import dev.jackdawdale.bench.RequestCell
 import dev.jackdawdale.model.Answer
 import dev.jackdawdale.model.AttemptResult
 import dev.jackdawdale.model.ChangeId
@@ -26,15 +26,15 @@
 private val hostId = HostId("e1")
 private val host = EntryHost(hostId, incarnation = 3, FailureDomain("kochi"))
 
-private fun cell(): VirtualCell {
-    val cell = VirtualCell(nowMs = 1_000)
+private fun cell(): RequestCell {
+    val cell = RequestCell(nowMs = 1_000)
     cell.append(Event.ContractChanged(ChangeId("c"), sampleContract("sri")))
     cell.append(Event.EntryHostJoined(host))
     repeat(3) { cell.append(Event.EndpointJoined(sampleEndpoint("p$it", slots = 50))) }
     return cell
 }
 
-private fun VirtualCell.placed(spec: RequestSpec): FencingToken {
+private fun RequestCell.placed(spec: RequestSpec): FencingToken {
     submit(spec, hostId)
     routeOnce()
     return state.requests.getValue(spec.workId).placement!!.token
--- a/src/test/kotlin/dev/jackdawdale/routing/RequestLifeTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/routing/RequestLifeTest.kt
@@ -1,7 +1,7 @@
 package dev.jackdawdale.routing
 
 import dev.jackdawdale.admission.admissionState
-import dev.jackdawdale.bench.VirtualCell
+import dev.jackdawdale.bench.RequestCell
 import dev.jackdawdale.model.Answer
 import dev.jackdawdale.model.AttemptResult
 import dev.jackdawdale.model.ChangeId
@@ -38,7 +38,7 @@
 
 /** Random operations on a cell, with what really happened beside what the cell believes. */
 private class RandomCell(private val random: Random) {
-    val cell = VirtualCell(nowMs = 1_000)
+    val cell = RequestCell(nowMs = 1_000)
     val accepted = mutableSetOf<WorkId>()
 
     /** Attempts whose bytes may have reached an endpoint. */
@@ -196,7 +196,7 @@
 }
 
 /** The indexes kept event by event must equal those built from the replicated state. */
-private fun checkIndexes(cell: VirtualCell) {
+private fun checkIndexes(cell: RequestCell) {
     val routing = routingState(cell.state, cell.nowMs)
     cell.routing.waiting.keys.toSet() shouldBe routing.waiting.keys.toSet()
     cell.routing.deadlines shouldBe routing.deadlines
--- a/src/test/kotlin/dev/jackdawdale/routing/RouteTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/routing/RouteTest.kt
@@ -1,6 +1,6 @@
 package dev.jackdawdale.routing
 
-import dev.jackdawdale.bench.VirtualCell
+import dev.jackdawdale.bench.RequestCell
 import dev.jackdawdale.model.Answer
 import dev.jackdawdale.model.AttemptResult
 import dev.jackdawdale.model.ChangeId
@@ -33,8 +33,8 @@
     vararg contracts: Contract = arrayOf(sampleContract("sri")),
     endpoints: Int = 1,
     slots: Int = 8
-): VirtualCell {
-    val cell = VirtualCell(nowMs = 1_000)
+): RequestCell {
+    val cell = RequestCell(nowMs = 1_000)
     contracts.forEach { cell.append(Event.ContractChanged(ChangeId("c-${it.customerId}"), it)) }
     cell.append(Event.EntryHostJoined(EntryHost(e1, 1, FailureDomain("kochi"))))
     cell.append(Event.EntryHostJoined(EntryHost(e2, 1, FailureDomain("thrissur"))))
@@ -42,9 +42,9 @@
     return cell
 }
 
-private fun VirtualCell.submitted(vararg specs: RequestSpec) = specs.forEach { submit(it, e1) }
+private fun RequestCell.submitted(vararg specs: RequestSpec) = specs.forEach { submit(it, e1) }
 
-private fun VirtualCell.requests(
+private fun RequestCell.requests(
     customer: String,
     count: Int,
     kind: String = "check",
@@ -54,7 +54,7 @@
 )
 
 /** Runs one request of the kind for [runTimeMs], so that its size class is known. */
-private fun VirtualCell.measure(customer: String, kind: String, runTimeMs: Long) {
+private fun RequestCell.measure(customer: String, kind: String, runTimeMs: Long) {
     val spec = sampleRequest(customer, "measure-$customer-$kind", kind = kind, deadlineMs = 900_000)
     submitted(spec)
     routeOnce()
@@ -62,10 +62,10 @@
     answered(spec)
 }
 
-private fun VirtualCell.answered(spec: RequestSpec) =
+private fun RequestCell.answered(spec: RequestSpec) =
     finish(spec.workId, state.requests.getValue(spec.workId).placement!!.token, answer)
 
-private fun VirtualCell.broken(spec: RequestSpec) = finish(
+private fun RequestCell.broken(spec: RequestSpec) = finish(
     spec.workId,
     state.requests.getValue(spec.workId).placement!!.token,
     AttemptResult.Broken("reset")
