--- a/src/main/kotlin/dev/jackdawdale/bench/Main.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/Main.kt
@@ -7,7 +7,11 @@
 /** A measurement: takes a seed, reports each figure as soon as it is known. */
 private typealias Measurement = (seed: Long, report: (Figure) -> Unit) -> Unit
 
-private val measurements: Map<String, Measurement> = mapOf()
+private val measurements: Map<String, Measurement> = mapOf(
+    "replica-throughput" to ::measureReplicaThroughput,
+    "replica-catch-up" to ::measureReplicaCatchUp,
+    "replica-recovery" to ::measureReplicaRecovery
+)
 
 /** Runs the measurement named by the first argument, or all of them. */
 fun main(args: Array<String>) {
