--- a/src/main/kotlin/dev/jackdawdale/bench/ReplicaCell.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/ReplicaCell.kt
@@ -84,7 +84,10 @@
 
         fun shutDown() {
             if (replica != null) stop()
-            listOf(control, disk, background).forEach { it.shutdown() }
+            for (thread in listOf(disk, background, control)) {
+                thread.shutdown()
+                thread.awaitTermination(AWAIT_LIMIT_MS, TimeUnit.MILLISECONDS)
+            }
         }
 
         private fun callbacks() = ReplicaCallbacks(
--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -140,10 +140,14 @@
     /** What this replica knows at [nowMs]. */
     fun status(nowMs: Long): ReplicaStatus = replicaStatus(state, nowMs, appliedIndex, storageError)
 
-    /** Stops taking part. Writes already handed to the storage thread still complete. */
+    /**
+     * Stops taking part. A write already on the storage thread still completes, so the folder is
+     * to be closed on that thread, after this call.
+     */
     fun stop() {
         if (stopped) return
         stopped = true
+        queue.close()
         calls.failAll(null)
     }
 
--- a/src/main/kotlin/dev/jackdawdale/replica/StorageQueue.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/StorageQueue.kt
@@ -21,15 +21,23 @@
 ) {
     private var waiting = mutableListOf<StorageBatch>()
     private var running = false
+    private var closed = false
 
     /** True when everything submitted is durable. */
     val isIdle: Boolean get() = !running && waiting.isEmpty()
 
     fun submit(batch: StorageBatch) {
+        if (closed) return
         waiting += batch
         if (!running) startNext()
     }
 
+    /** Drops what has not reached the storage thread; it never counted as durable. */
+    fun close() {
+        closed = true
+        waiting.clear()
+    }
+
     private fun startNext() {
         val batches = waiting
         waiting = mutableListOf()
@@ -49,6 +57,7 @@
 
     /** After a failure the queue stays blocked: nothing later may count as durable. */
     private fun finished(batches: List<StorageBatch>, error: StorageError?) {
+        if (closed) return
         if (error != null) return onFailed(error)
         running = false
         batches.forEach { it.onDurable() }
--- a/src/main/kotlin/dev/jackdawdale/storage/ReplicaFolder.kt
+++ b/src/main/kotlin/dev/jackdawdale/storage/ReplicaFolder.kt
@@ -84,6 +84,7 @@
 
     override fun close() {
         log.close()
+        snapshots.close()
         lock.acquiredBy().close()
     }
 
--- a/src/main/kotlin/dev/jackdawdale/storage/SnapshotFolder.kt
+++ b/src/main/kotlin/dev/jackdawdale/storage/SnapshotFolder.kt
@@ -18,6 +18,7 @@
 /** Keeps the latest snapshot. Safe for use by several threads. */
 internal class SnapshotFolder(private val folder: Path, private val check: WriteCheck) {
     private var latest: SnapshotFile? = null
+    private var closed = false
 
     @Synchronized
     fun load(): StoredSnapshot? {
@@ -36,7 +37,7 @@
     @Synchronized
     fun write(snapshot: StoredSnapshot) {
         val index = snapshot.meta.index
-        if (index <= (latest?.index ?: 0)) return
+        if (closed || index <= (latest?.index ?: 0)) return
         val path = folder.resolve(String.format(Locale.ROOT, NAME_FORMAT, index))
         val meta = cellCbor.encodeToByteArray(snapshot.meta)
         val length = ByteBuffer.allocate(Int.SIZE_BYTES).putInt(meta.size).array()
@@ -46,6 +47,12 @@
         filesIn(folder, SUFFIX).filter { it != path }.forEach { onDisk(it) { Files.delete(it) } }
     }
 
+    /** A write that comes later is passed over: another process may own the folder by then. */
+    @Synchronized
+    fun close() {
+        closed = true
+    }
+
     @Synchronized
     fun read(index: Long, offset: Long, maxBytes: Int): SnapshotChunk? {
         val file = latest?.takeIf { it.index == index } ?: return null
