Let disks lag and whole cells crash in the random operations

Change: the test cell delays disk tasks by a random probability, and all replicas may crash at once.

--- a/src/test/kotlin/dev/jackdawdale/replica/RandomOperationsTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/RandomOperationsTest.kt
@@ -33,9 +33,15 @@
     private fun operate() {
         when (random.nextInt(20)) {
             in 0..9 -> propose()
-            10 -> cell.faults = Faults(random.nextDouble(0.3), random.nextDouble(0.2), 0.3)
+            10 -> {
+                cell.faults = Faults(random.nextDouble(0.3), random.nextDouble(0.2), 0.3)
+                cell.diskLag = random.nextDouble(0.95)
+            }
+
             11 -> cell.faults = Faults()
-            12 -> cell.nodes.values.random(random).crash()
+
+            12 -> crash()
+
             13, 14 -> cell.nodes.values.filter { it.replica == null }.forEach { it.start() }
             15 -> loseDisk()
             16 -> cell.cutOff += cell.hostIds.random(random)
@@ -50,6 +56,13 @@
         node.replica?.propose("c${commands++}".encodeToByteArray(), cell.nowMs)
     }
 
+    /** A crash of all replicas at once loses every entry that only counted as synced. */
+    private fun crash() {
+        val all = cell.nodes.values
+        val crashed = if (random.nextInt(3) == 0) all else listOf(all.random(random))
+        crashed.forEach { it.crash() }
+    }
+
     /** A confirmed read sees every command that any replica had applied when it was asked for. */
     private fun read() {
         val node = cell.nodes.values.random(random)
@@ -87,6 +100,7 @@
 
     private fun heal() {
         cell.faults = Faults()
+        cell.diskLag = 0.0
         cell.cutOff.clear()
         cell.nodes.values.filter { it.replica == null }.forEach { it.start() }
     }
--- a/src/test/kotlin/dev/jackdawdale/replica/TestCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/TestCell.kt
@@ -30,6 +30,9 @@
     val nodes = hostIds.associateWith { TestNode(it) }
     var nowMs = 1_000L
     var faults = Faults()
+
+    /** Probability that a disk does not get on when it is its turn. */
+    var diskLag = 0.0
     val cutOff = mutableSetOf<HostId>()
     private val network = mutableListOf<Envelope>()
 
@@ -81,7 +84,7 @@
 
         /** Runs one disk task; tasks that did not run are lost in a crash. */
         fun runDisk() {
-            disk.removeFirstOrNull()?.run()
+            if (random.nextDouble() >= diskLag) disk.removeFirstOrNull()?.run()
         }
 
         val hasWork: Boolean get() = control.isNotEmpty() || disk.isNotEmpty()
@@ -158,7 +161,7 @@
         check(bytes.size < MAX_FRAME_BYTES) { "a message of ${bytes.size} bytes" }
         node.replica?.receive(envelope.from, cellCbor.decodeFromByteArray(bytes), nowMs)
         node.runControl()
-        if (random.nextInt(4) > 0) node.runDisk()
+        node.runDisk()
         node.runControl()
     }
 
