--- a/src/main/kotlin/dev/jackdawdale/bench/Main.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/Main.kt
@@ -12,7 +12,10 @@
     "head-of-line" to ::headOfLine,
     "crest" to ::crest,
     "cancel-wave" to ::cancelWave,
-    "route-cost" to ::routeCost
+    "route-cost" to ::routeCost,
+    "replica-throughput" to ::measureReplicaThroughput,
+    "replica-catch-up" to ::measureReplicaCatchUp,
+    "replica-recovery" to ::measureReplicaRecovery
 )
 
 /** Runs the measurement named by the first argument, or all of them. */
