--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/bench/FirstFit.kt
@@ -0,0 +1,55 @@
+package dev.jackdawdale.bench
+
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.Event
+import dev.jackdawdale.model.TaskId
+import dev.jackdawdale.model.TaskPhase
+import dev.jackdawdale.model.WorkerPhase
+import dev.jackdawdale.model.apply
+import dev.jackdawdale.model.fitsInto
+import dev.jackdawdale.model.free
+import dev.jackdawdale.placement.PlacementState
+import dev.jackdawdale.placement.Placements
+import dev.jackdawdale.placement.releaseDelayed
+
+/** Jobs looked at in one pass of the baseline. */
+private const val MAX_JOBS = 200
+
+/**
+ * The baseline: jobs in order of acceptance, each task on the first worker with room; a job that
+ * fits nowhere is passed over. There is no urgency, no share and no preemption.
+ */
+internal fun placeFirstFit(
+    state: CellState,
+    placement: PlacementState,
+    nowMs: Long,
+    limit: Int
+): Placements {
+    val start = placement.releaseDelayed(state, nowMs)
+    val events = mutableListOf<Event>()
+    var current = state
+    val jobs = start.waiting.jobs.values.sortedBy { it.sinceMs }.take(MAX_JOBS)
+    for (job in jobs) {
+        for (taskId in job.tasks.take(limit - events.size)) {
+            val event = firstFit(current, taskId) ?: break
+            events += event
+            current = current.apply(event, nowMs)
+        }
+    }
+    return Placements(events, start)
+}
+
+private fun firstFit(state: CellState, taskId: TaskId): Event? {
+    val task = state.tasks[taskId]?.takeIf { it.phase == TaskPhase.WAITING } ?: return null
+    val worker = state.workers.values.firstOrNull {
+        it.phase == WorkerPhase.ACTIVE && task.declared.fitsInto(it.free)
+    } ?: return null
+    val info = worker.info
+    return Event.TaskPlaced(
+        taskId,
+        info.workerId,
+        info.incarnation,
+        state.nextToken,
+        task.declared
+    )
+}
--- a/src/main/kotlin/dev/jackdawdale/bench/Main.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/Main.kt
@@ -7,7 +7,13 @@
 /** A measurement: takes a seed, reports each figure as soon as it is known. */
 private typealias Measurement = (seed: Long, report: (Figure) -> Unit) -> Unit
 
-private val measurements: Map<String, Measurement> = mapOf()
+private val measurements: Map<String, Measurement> = mapOf(
+    "placement-cost" to ::measurePlacementCost,
+    "task-wait" to ::measureTaskWait,
+    "packing" to ::measurePacking,
+    "gang" to ::measureGang,
+    "worker-loss" to ::measureWorkerLoss
+)
 
 /** Runs the measurement named by the first argument, or all of them. */
 fun main(args: Array<String>) {
--- a/src/main/kotlin/dev/jackdawdale/placement/PlacementObserve.kt
+++ b/src/main/kotlin/dev/jackdawdale/placement/PlacementObserve.kt
@@ -36,14 +36,14 @@
     is Event.CancelRequested -> observeCancel(event.workId, after)
     is Event.WorkerJoined -> observeWorker(event.info.workerId, before, after, nowMs)
     is Event.WorkerPhaseChanged -> observeWorker(event.workerId, before, after, nowMs)
-    is Event.ContractChanged -> copy(changes = changes + 1)
+    is Event.ContractChanged -> roomMade()
     else -> this
 }
 
 private fun PlacementState.observeJobAccepted(spec: JobSpec, after: CellState): PlacementState {
     val job = after.jobs[spec.workId] ?: return this
     val queued = after.tasksOf(job).fold(waiting) { all, task -> all.add(spec, task) }
-    return copy(waiting = queued, changes = changes + 1)
+    return copy(waiting = queued).queued(spec)
 }
 
 private fun PlacementState.observeJobEnded(
@@ -61,15 +61,14 @@
     return released.copy(
         waiting = released.waiting.removeJob(spec),
         spread = released.spread - workId,
-        learned = released.learned - workId,
-        changes = changes + 1
-    )
+        learned = released.learned - workId
+    ).roomMade()
 }
 
 private fun PlacementState.observeCancel(workId: WorkId, after: CellState): PlacementState {
     val job = after.jobs[workId] ?: return this
     val cleared = after.tasksOf(job).fold(reservations) { all, task -> all.remove(task.taskId) }
-    return copy(waiting = waiting.removeJob(job.spec), reservations = cleared)
+    return copy(waiting = waiting.removeJob(job.spec), reservations = cleared).roomMade()
 }
 
 private fun PlacementState.observeTask(
@@ -87,13 +86,14 @@
     val placedNow = old.placement == null && new.placement != null
     var result = held(job.spec, old, new, before, after).copy(
         waiting = queued,
-        changes = if (frees || new.phase == TaskPhase.WAITING) changes + 1 else changes,
         reservations = if (placedNow) reservations.remove(taskId) else reservations
     )
     result = result.reindexed(old.placement?.workerId, before, after)
     if (new.placement?.workerId != old.placement?.workerId) {
         result = result.reindexed(new.placement?.workerId, before, after)
     }
+    if (frees) result = result.roomMade()
+    if (new.phase == TaskPhase.WAITING) result = result.queued(job.spec)
     return result.learn(old, new, placedNow, nowMs)
 }
 
@@ -161,7 +161,8 @@
         else -> probes.put(workerId, Probe(nowMs + settings.probeAfterMs))
     }
     return reindexed(workerId, before, after)
-        .copy(reservations = kept, probes = probing, changes = changes + 1)
+        .copy(reservations = kept, probes = probing)
+        .roomMade()
 }
 
 private fun PlacementState.observeProbeEnd(
@@ -180,11 +181,17 @@
 internal fun PlacementState.releaseDelayed(state: CellState, nowMs: Long): PlacementState {
     val (rest, due) = waiting.takeDue(nowMs)
     if (rest === waiting) return this
-    var queued = rest
+    var result = copy(waiting = rest)
     for (task in due.mapNotNull { state.tasks[it] }) {
-        val job = state.jobs[task.workId]
-        val waits = task.phase == TaskPhase.WAITING && job?.cancelRequested == false
-        if (waits) queued = queued.add(job.spec, task)
+        val job = state.jobs[task.workId] ?: continue
+        if (task.phase == TaskPhase.WAITING && !job.cancelRequested) {
+            result = result.copy(waiting = result.waiting.add(job.spec, task)).queued(job.spec)
+        }
     }
-    return copy(waiting = queued, changes = if (due.isEmpty()) changes else changes + 1)
+    return result
 }
+
+private fun PlacementState.roomMade() = copy(freed = freed + 1, changes = changes + 1)
+
+private fun PlacementState.queued(spec: JobSpec) =
+    copy(blocked = blocked - spec.queueKey(), changes = changes + 1)
--- a/src/main/kotlin/dev/jackdawdale/placement/PlacementPass.kt
+++ b/src/main/kotlin/dev/jackdawdale/placement/PlacementPass.kt
@@ -9,11 +9,23 @@
 import dev.jackdawdale.model.Resources
 import dev.jackdawdale.model.TaskId
 import dev.jackdawdale.model.TaskPhase
+import dev.jackdawdale.model.Urgency
 import dev.jackdawdale.model.WorkId
 import dev.jackdawdale.model.Worker
 import dev.jackdawdale.model.apply
 import dev.jackdawdale.model.fitsInto
 import dev.jackdawdale.model.times
+import java.util.PriorityQueue
+import kotlinx.collections.immutable.PersistentMap
+
+/** Time after which a blocked queue is tried again although no room was made. */
+private const val BLOCKED_MS = 1_000L
+
+/** Jobs of one size class that one pass passes over singly. */
+private const val MAX_SKIPPED = 16
+
+/** Each try looks at all workers, so a pass cannot afford one for each waiting gang. */
+private const val MAX_RESERVATION_TRIES = 4
 
 /**
  * One pass over the waiting work. It applies its own events to a private copy of the state, so
@@ -28,60 +40,91 @@
     val events = mutableListOf<Event>()
 
     private val exhausted = mutableMapOf<QueueKey, MutableSet<SizeClass>>()
-    private val closed = mutableSetOf<QueueKey>()
+    private val skippedJobs = mutableSetOf<WorkId>()
+    private val heads = PriorityQueue<Head>()
+    private var blocked = placement.blocked
     private val failures = FailedDemands()
+    private val failedPreemptions = FailedDemands()
+    private var reservationTries = MAX_RESERVATION_TRIES
 
     fun reservations(): Reservations = placement.reservations
 
+    fun blocked(): PersistentMap<QueueKey, Blocked> = blocked
+
     fun run() {
         placeProbes()
+        val rooms = RoomCheck(state, placement.workers)
+        placement.waiting.queues.keys.filterNot { isBlocked(it, rooms) }.forEach(::offer)
         while (events.size < limit) {
             val head = nextHead() ?: break
-            if (!tryPlace(head)) {
-                exhausted.getOrPut(head.key) { mutableSetOf() } += head.sizeClass
-            }
+            if (!tryPlace(head)) passOver(head)
+            offer(head.key)
+        }
+    }
+
+    /** A failure that says nothing about other jobs of the size class passes over one job only. */
+    private fun passOver(head: Head) {
+        val job = state.jobs.getValue(head.workId)
+        val waitingTasks = placement.waiting.jobs[head.workId]?.tasks?.size ?: 0
+        val incomplete = job.spec.kind == JobKind.GANG &&
+            waitingTasks < job.spec.taskCount - job.succeededTasks
+        if (incomplete || job.failedWorkers.isNotEmpty()) {
+            skippedJobs += head.workId
+        } else {
+            exhausted.getOrPut(head.key) { mutableSetOf() } += head.sizeClass
         }
     }
 
     /** The job that comes next by guaranteed share, urgency and weighted share. */
     private fun nextHead(): Head? {
-        var best: Head? = null
-        for (key in placement.waiting.queues.keys) {
-            if (key in closed) continue
-            val contract = state.contracts[key.customerId]
-            val head = if (contract == null) null else headOf(key, contract)
-            if (head == null) {
-                closed += key
-            } else if (best == null || head < best) {
-                best = head
-            }
+        while (true) {
+            val head = heads.poll() ?: return null
+            val contract = head.contract
+            val now = headOf(head.key, contract)
+            if (now == head) return head
+            // Placements of this pass changed the customer's share or the queue.
+            if (now == null) block(head.key) else heads.add(now)
         }
-        return best
+    }
+
+    private fun offer(key: QueueKey) {
+        val head = state.contracts[key.customerId]?.let { headOf(key, it) }
+        if (head == null) block(key) else heads.add(head)
+    }
+
+    private fun block(key: QueueKey) {
+        val classes = placement.waiting.queues[key] ?: return
+        val least = leastNeed(classes.keys)
+        blocked = blocked.put(key, Blocked(placement.freed, nowMs + BLOCKED_MS, least))
+    }
+
+    /** Urgent work is tried after each change, because it may preempt where it finds no room. */
+    private fun isBlocked(key: QueueKey, rooms: RoomCheck): Boolean {
+        val since = blocked[key] ?: return false
+        if (nowMs >= since.untilMs) return false
+        if (since.freed == placement.freed) return true
+        return key.urgency != Urgency.URGENT && !rooms.hasRoom(since.least)
     }
 
     private fun headOf(key: QueueKey, contract: Contract): Head? {
         val use = use(key.customerId)
         if (use.tasks >= contract.maxRunningTasks) return null
         val skipped = exhausted[key] ?: emptySet()
-        var oldest: WaitingJob? = null
-        var oldestClass: SizeClass? = null
-        var looked = 0
-        for ((sizeClass, members) in placement.waiting.queues[key].orEmpty()) {
-            if (looked >= placement.settings.maxSizeClasses) break
-            if (sizeClass in skipped) continue
-            looked++
-            val job = placement.waiting.jobs.getValue(members.first())
-            if (oldest == null || job.sinceMs < oldest.sinceMs) {
-                oldest = job
-                oldestClass = sizeClass
-            }
-        }
-        if (oldest == null || oldestClass == null) return null
+        val candidates = placement.waiting.queues[key].orEmpty().asSequence()
+            .filter { (sizeClass, _) -> sizeClass !in skipped }
+            .take(placement.settings.maxSizeClasses)
+            .mapNotNull { (_, members) -> firstOf(members) }
+        val oldest = candidates.minByOrNull { it.sinceMs } ?: return null
         val guaranteed = use.withinGuarantee(contract, oldest.spec.perTask)
         val share = dominantShare(use.held, placement.workers.total) / contract.weight
-        return Head(key, oldestClass, oldest.spec.workId, contract, guaranteed, share)
+        return Head(key, oldest.spec.sizeClass(), oldest.spec.workId, contract, guaranteed, share)
     }
 
+    private fun firstOf(members: Set<WorkId>): WaitingJob? = members.asSequence()
+        .take(MAX_SKIPPED)
+        .firstOrNull { it !in skippedJobs }
+        ?.let { placement.waiting.jobs[it] }
+
     private fun use(customerId: CustomerId) = placement.use[customerId] ?: CustomerUse()
 
     private fun tryPlace(head: Head): Boolean {
@@ -98,7 +141,8 @@
         if (!use(head.key.customerId).allows(head.contract, demand.need, 1)) return false
         val waiting = placement.waiting.jobs.getValue(head.workId)
         val taskId = waiting.tasks.first()
-        val worker = if (failures.covers(demand)) null else search(demand)
+        val covered = !hasReservation(head.workId, taskId) && failures.covers(demand)
+        val worker = if (covered) null else search(demand)
         if (worker != null) {
             emitPlacement(taskId, worker, demand.need)
             return true
@@ -109,6 +153,11 @@
         return false
     }
 
+    /** A job with a reservation may find room where a smaller one does not. */
+    private fun hasReservation(workId: WorkId, taskId: TaskId): Boolean =
+        taskId in placement.reservations.byTask ||
+            gangKey(workId) in placement.reservations.byTask
+
     private fun search(demand: Demand): Worker? {
         val worker = chooseWorker(state, placement, demand)
         if (worker == null) failures.add(demand)
@@ -120,7 +169,12 @@
         if (!mayPreempt(demand, head.guaranteed)) return false
         val taskId = waiting.tasks.firstOrNull { it !in placement.reservations.byTask }
         if (taskId == null) return false
-        val victims = chooseVictims(state, placement, demand) ?: return false
+        if (failedPreemptions.covers(demand)) return false
+        val victims = chooseVictims(state, placement, demand)
+        if (victims == null) {
+            failedPreemptions.add(demand)
+            return false
+        }
         victims.stops().forEach(::emit)
         val amounts = mapOf(victims.worker.info.workerId to demand.need)
         val reservation = Reservation(head.workId, taskId, amounts, nowMs, forPreemption = true)
@@ -134,8 +188,13 @@
         if (waiting.tasks.size < count) return false
         val total = demand.need * count
         if (!use(head.key.customerId).allows(head.contract, total, count)) return false
-        val workers = chooseGangWorkers(state, placement, demand, count)
+        val key = gangKey(head.workId)
+        val covered =
+            key !in placement.reservations.byTask && failures.covers(demand, count)
+        val workers =
+            if (covered) null else chooseGangWorkers(state, placement, demand, count)
         if (workers == null) {
+            failures.add(demand, count)
             reserve(demand, count)
             return false
         }
@@ -148,9 +207,11 @@
     private fun reserve(demand: Demand, count: Int) {
         val reservations = placement.reservations
         val key = gangKey(demand.job.spec.workId)
-        if (key in reservations.byTask) return
+        if (key in reservations.byTask || reservationTries <= 0) return
         if (reservations.byTask.size >= placement.settings.maxReservations) return
+        reservationTries--
         val reservation = reserve(state, placement, demand, count, nowMs) ?: return
+        reservationTries = 0
         placement = placement.copy(reservations = reservations.add(reservation))
     }
 
--- a/src/main/kotlin/dev/jackdawdale/placement/PlacementState.kt
+++ b/src/main/kotlin/dev/jackdawdale/placement/PlacementState.kt
@@ -26,6 +26,8 @@
  * @property lasting sum per worker of what tasks without a time limit count for
  * @property learned size for the next placement of jobs that were stopped for overuse
  * @property probes quarantined workers and their probes
+ * @property freed number of changes that may have made room for work that found none
+ * @property blocked queues in which nothing could be placed
  * @property changes number of changes that could let waiting work start
  * @property settledChanges value of [changes] at the end of the last pass that found nothing to do
  * @property settledUntilMs time until which such a pass need not be repeated
@@ -41,6 +43,8 @@
     val reservations: Reservations = Reservations(),
     val learned: PersistentMap<WorkId, Resources> = persistentHashMapOf(),
     val probes: PersistentMap<WorkerId, Probe> = persistentHashMapOf(),
+    val freed: Long = 0,
+    val blocked: PersistentMap<QueueKey, Blocked> = persistentHashMapOf(),
     val changes: Long = 0,
     val settledChanges: Long = -1,
     val settledUntilMs: Long = 0
--- a/src/main/kotlin/dev/jackdawdale/placement/Placements.kt
+++ b/src/main/kotlin/dev/jackdawdale/placement/Placements.kt
@@ -30,7 +30,7 @@
     if (settled) return Placements(emptyList(), start)
     val pass = PlacementPass(state, start, nowMs, limit)
     pass.run()
-    val kept = start.copy(reservations = pass.reservations())
+    val kept = start.copy(reservations = pass.reservations(), blocked = pass.blocked())
     val quiet = pass.events.isEmpty()
     val result = if (quiet) kept.settled(nowMs) else kept
     return Placements(pass.events, result)
