Spread reservations of gangs over many workers and bound them

Gangs of 64 tasks among backlogged batch work waited 106 s at p50 (30 of 39 started in 600 s) with 73% of the processors busy: reservations took whole workers, whose drain lasts as long as their longest task, and eight of them reserved the cell and waited for each other; small tasks that had waited five seconds took reservations as well.

Reservations now take the places that are free earliest by time limits, several together keep at most a quarter of the cell, and of single tasks only those of at least half a worker reserve, after 30 s.

--- a/src/main/kotlin/dev/jackdawdale/bench/VirtualCell.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/VirtualCell.kt
@@ -125,6 +125,8 @@
         val orders = ordersFor(state, workerId, report)
         recovery = leaseGranted(recovery, workerId, nowMs)
         if (losesReply()) return
+        // A worker polls again at once after orders, so that their effects are reported.
+        if (orders.isNotEmpty()) worker.nextPollMs = nowMs
         worker.receive(orders, decision.acknowledged, nowMs) { plan(workerId, it) }
     }
 
--- a/src/main/kotlin/dev/jackdawdale/placement/GangChoice.kt
+++ b/src/main/kotlin/dev/jackdawdale/placement/GangChoice.kt
@@ -8,12 +8,11 @@
 import dev.jackdawdale.model.WorkerPhase
 import dev.jackdawdale.model.free
 import dev.jackdawdale.model.minus
+import dev.jackdawdale.model.plus
 import dev.jackdawdale.model.times
 
-/** Start of a reservation on workers whose work has no time limit. */
-private const val UNKNOWN_START_MS = Long.MAX_VALUE
-
-private const val NO_LIMIT = Int.MAX_VALUE
+/** Tasks without any need still count as one slot each; this bounds their number per worker. */
+private const val NO_LIMIT = 1_000
 
 /** Number of tasks of size [need] that fit into [available]. */
 internal fun slots(need: Resources, available: Resources): Int = minOf(
@@ -63,9 +62,16 @@
 private fun Room.wastesAccelerators(need: Resources) =
     need.accelerators == 0L && worker.info.capacity.accelerators > 0
 
+/** When one more task of the gang fits on a worker at the latest. */
+private data class FutureSlot(val workerId: WorkerId, val freeAtMs: Long)
+
+/** Workers compared for one reservation; comparing 2,700 workers would take too long. */
+private const val MAX_RESERVED_WORKERS = 256
+
 /**
- * The reservation with the earliest start for [count] tasks, or null when the cell cannot hold
- * them together. Workers with the most free room are taken first.
+ * The reservation with the earliest start for [count] tasks by the time limits of the running
+ * tasks, or null when work without a time limit stands in the way. It takes a few places on many
+ * workers rather than whole workers, because draining a worker lasts as long as its longest task.
  */
 internal fun reserve(
     state: CellState,
@@ -74,65 +80,64 @@
     count: Int,
     nowMs: Long
 ): Reservation? {
-    val rooms = reservableRooms(state, placement, demand)
-    val amounts = mutableMapOf<WorkerId, Resources>()
-    var missing = count
-    var startMs = nowMs
-    for (room in rooms) {
-        if (missing <= 0) break
-        val taken = minOf(room.slots, missing)
-        val amount = demand.need * taken
-        amounts[room.worker.info.workerId] = amount
-        startMs = maxOf(startMs, freeAtMs(state, room.worker, amount, nowMs))
-        missing -= taken
-    }
-    if (missing > 0) return null
+    val earliest = reservableWorkers(state, placement, demand)
+        .flatMap { futureSlots(state, placement, it, demand, nowMs) }
+        .sortedBy { it.freeAtMs }
+        .take(count)
+    if (earliest.size < count) return null
+    val amounts = earliest.groupingBy { it.workerId }.eachCount()
+        .mapValues { (_, slots) -> demand.need * slots }
     val workId = demand.job.spec.workId
+    val startMs = earliest.last().freeAtMs
     return Reservation(workId, gangKey(workId), amounts, startMs, forPreemption = false)
 }
 
-private fun reservableRooms(
+private fun reservableWorkers(
     state: CellState,
     placement: PlacementState,
     demand: Demand
-): List<Room> = state.workers.values
+): List<Worker> = state.workers.values
     .filter { worker ->
+        val lasting = placement.lasting[worker.info.workerId] ?: Resources()
         worker.phase == WorkerPhase.ACTIVE &&
             worker.info.workerId !in demand.avoided &&
-            worker.info.workerId !in placement.reservations.byWorker
-    }
-    .mapNotNull { worker ->
-        val lasting = placement.lasting[worker.info.workerId] ?: Resources()
-        val possible = slots(demand.need, worker.info.capacity - lasting)
-        if (possible > 0) Room(worker, possible) else null
+            slots(demand.need, worker.info.capacity - lasting) > 0
     }
     .sortedWith(
         compareBy(
-            { it.wastesAccelerators(demand.need) },
-            { -slots(demand.need, it.worker.free) },
-            { -it.slots }
+            { demand.need.accelerators == 0L && it.info.capacity.accelerators > 0 },
+            { -slots(demand.need, it.free) }
         )
     )
+    .take(MAX_RESERVED_WORKERS)
 
-/** When [amount] is free on [worker] at the latest, by the time limits of its tasks. */
-private fun freeAtMs(state: CellState, worker: Worker, amount: Resources, nowMs: Long): Long {
-    var rest = amount - worker.free
-    if (!rest.isPositive()) return nowMs
+private fun futureSlots(
+    state: CellState,
+    placement: PlacementState,
+    worker: Worker,
+    demand: Demand,
+    nowMs: Long
+): List<FutureSlot> {
+    val workerId = worker.info.workerId
+    val workId = demand.job.spec.workId
+    val result = mutableListOf<FutureSlot>()
+    var room = worker.free - placement.reservations.keptFrom(workId, workerId, null)
+    repeat(slots(demand.need, room)) { result += FutureSlot(workerId, nowMs) }
     val byEnd = worker.taskIds
         .mapNotNull { state.tasks[it] }
-        .map { it to latestEndMs(state, it) }
+        .mapNotNull { task -> latestEndMs(state, task)?.let { task to it } }
         .sortedBy { it.second }
     for ((task, endMs) in byEnd) {
-        rest -= task.placement?.counted ?: continue
-        if (!rest.isPositive()) return endMs
+        room += task.placement?.counted ?: continue
+        val more = slots(demand.need, room) - result.size
+        repeat(maxOf(more, 0)) { result += FutureSlot(workerId, maxOf(endMs, nowMs)) }
     }
-    return UNKNOWN_START_MS
+    return result
 }
 
-private fun Resources.isPositive() = cpuMillis > 0 || memoryMib > 0 || accelerators > 0
-
-private fun latestEndMs(state: CellState, task: Task): Long {
-    val limitMs = state.jobs[task.workId]?.spec?.timeLimitMs ?: return UNKNOWN_START_MS
-    val placement = task.placement ?: return UNKNOWN_START_MS
+/** When [task] ends at the latest, or null when it has no time limit. */
+private fun latestEndMs(state: CellState, task: Task): Long? {
+    val limitMs = state.jobs[task.workId]?.spec?.timeLimitMs ?: return null
+    val placement = task.placement ?: return null
     return (placement.startedAtMs ?: placement.placedAtMs) + limitMs
 }
--- a/src/main/kotlin/dev/jackdawdale/placement/PlacementPass.kt
+++ b/src/main/kotlin/dev/jackdawdale/placement/PlacementPass.kt
@@ -14,6 +14,7 @@
 import dev.jackdawdale.model.Worker
 import dev.jackdawdale.model.apply
 import dev.jackdawdale.model.fitsInto
+import dev.jackdawdale.model.plus
 import dev.jackdawdale.model.times
 import java.util.PriorityQueue
 import kotlinx.collections.immutable.PersistentMap
@@ -21,6 +22,9 @@
 /** Time after which a blocked queue is tried again although no room was made. */
 private const val BLOCKED_MS = 1_000L
 
+/** Part of a worker from which on a single task may get a reservation. */
+private const val LARGE_PART = 0.5
+
 /** Jobs of one size class that one pass passes over singly. */
 private const val MAX_SKIPPED = 16
 
@@ -149,10 +153,18 @@
         }
         if (preempt(head, demand, waiting)) return true
         val waitedMs = nowMs - waiting.sinceMs
-        if (waitedMs >= placement.settings.reserveAfterMs) reserve(demand, 1)
+        if (waitedMs >= placement.settings.reserveAfterMs && isLarge(demand)) reserve(demand, 1)
         return false
     }
 
+    /** Small tasks find room whenever one ends; their reservations would keep gangs waiting. */
+    private fun isLarge(demand: Demand): Boolean {
+        val largest = placement.workers.capacities.keys.maxByOrNull { it.cpuMillis } ?: return false
+        val singles = placement.reservations.byTask.values.count { it.isSingle }
+        return singles < placement.settings.maxReservations / 2 &&
+            dominantShare(demand.need, largest) >= LARGE_PART
+    }
+
     /** A job with a reservation may find room where a smaller one does not. */
     private fun hasReservation(workId: WorkId, taskId: TaskId): Boolean =
         taskId in placement.reservations.byTask ||
@@ -212,6 +224,10 @@
         reservationTries--
         val reservation = reserve(state, placement, demand, count, nowMs) ?: return
         reservationTries = 0
+        val others = reservations.byTask.values.filterNot { it.forPreemption }
+        val reserved = (others + reservation).fold(Resources()) { sum, one -> sum + one.total() }
+        val share = dominantShare(reserved, placement.workers.total)
+        if (others.isNotEmpty() && share > placement.settings.maxReservedShare) return
         placement = placement.copy(reservations = reservations.add(reservation))
     }
 
--- a/src/main/kotlin/dev/jackdawdale/placement/Reservation.kt
+++ b/src/main/kotlin/dev/jackdawdale/placement/Reservation.kt
@@ -27,6 +27,12 @@
     val forPreemption: Boolean
 )
 
+/** True when the reservation waits for room for one task. */
+internal val Reservation.isSingle: Boolean get() = !forPreemption && amounts.size == 1
+
+internal fun Reservation.total(): Resources =
+    amounts.values.fold(Resources()) { sum, amount -> sum + amount }
+
 /** All reservations, found by task and by worker. */
 internal data class Reservations(
     val byTask: PersistentMap<TaskId, Reservation> = persistentHashMapOf(),
--- a/src/main/kotlin/dev/jackdawdale/placement/WorkerChoice.kt
+++ b/src/main/kotlin/dev/jackdawdale/placement/WorkerChoice.kt
@@ -130,10 +130,10 @@
     var bestRank: SpreadRank? = null
     for (key in placement.workers.keysFor(demand.need)) {
         for (workerId in placement.workers.byFree.getValue(key)) {
-            if (workerId in demand.avoided) continue
             val worker = state.workers.getValue(workerId)
             val available = placement.available(worker, demand)
-            if (!demand.need.fitsInto(available)) continue
+            if (workerId in demand.avoided || !demand.need.fitsInto(available)) continue
+            if (bestRank != null && spread.isWorse(worker, demand.need, bestRank)) continue
             val rank = spread.rank(worker, demand.need, available)
             if (bestRank == null || rank < bestRank) {
                 best = worker
@@ -144,6 +144,13 @@
     return best
 }
 
+/** True when the failure domain alone decides against [worker]; most workers need no full rank. */
+private fun JobSpread.isWorse(worker: Worker, need: Resources, best: SpreadRank): Boolean {
+    val accelerated = worker.info.capacity.accelerators > 0 && need.accelerators == 0L
+    if (accelerated != best.accelerated) return accelerated
+    return (domains[worker.info.failureDomain] ?: 0) > best.domain
+}
+
 private fun JobSpread.rank(worker: Worker, need: Resources, available: Resources) = SpreadRank(
     accelerated = worker.info.capacity.accelerators > 0 && need.accelerators == 0L,
     domain = domains[worker.info.failureDomain] ?: 0,
--- a/src/main/kotlin/dev/jackdawdale/recovery/TaskRecoverySettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/recovery/TaskRecoverySettings.kt
@@ -30,7 +30,7 @@
     val overuseGraceMs: Long = 5_000,
     val firstBackoffMs: Long = 1_000,
     val maxBackoffMs: Long = 60_000,
-    val maxLostPerTick: Int = 500,
+    val maxLostPerTick: Int = 200,
     val maxJobsPerTick: Int = 500,
     val maxDrainStopsPerTick: Int = 4,
     val dedupWindowMs: Long = 86_400_000,
