--- a/src/main/kotlin/dev/jackdawdale/bench/Main.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/Main.kt
@@ -15,7 +15,12 @@
     "route-cost" to ::routeCost,
     "replica-throughput" to ::measureReplicaThroughput,
     "replica-catch-up" to ::measureReplicaCatchUp,
-    "replica-recovery" to ::measureReplicaRecovery
+    "replica-recovery" to ::measureReplicaRecovery,
+    "placement-cost" to ::measurePlacementCost,
+    "task-wait" to ::measureTaskWait,
+    "packing" to ::measurePacking,
+    "gang" to ::measureGang,
+    "worker-loss" to ::measureWorkerLoss
 )
 
 /** Runs the measurement named by the first argument, or all of them. */
