--- a/src/main/kotlin/dev/jackdawdale/control/CommandHandler.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/CommandHandler.kt
@@ -21,10 +21,8 @@
 import dev.jackdawdale.model.WorkerPhase
 import dev.jackdawdale.model.contractOf
 import dev.jackdawdale.recovery.CancelDecision
-import dev.jackdawdale.recovery.TaskCancel
 import dev.jackdawdale.recovery.decideAnnouncement
 import dev.jackdawdale.recovery.decideCancel
-import dev.jackdawdale.recovery.decideJobCancel
 import dev.jackdawdale.recovery.decideWorkerLost
 import dev.jackdawdale.wire.Command
 import dev.jackdawdale.wire.Operation
@@ -129,35 +127,12 @@
         }
 
     private fun cancel(pass: Pass, call: CallContext, command: Command.Cancel) {
-        val refusal = if (command.workId in pass.state.jobs) {
-            cancelJob(pass, command)
-        } else {
-            cancelRequest(pass, command)
-        }
-        if (refusal != null) return refuse(pass, call, refusal)
-        replyWork(pass, call, command.customerId, command.workId)
-    }
-
-    private fun cancelJob(pass: Pass, command: Command.Cancel): Refusal? =
-        when (val decision = decideJobCancel(pass.state, command.customerId, command.workId)) {
-            is TaskCancel.Refused -> decision.refusal
-
-            is TaskCancel.Accepted -> {
-                pass.emitAll(decision.events)
-                null
-            }
-        }
-
-    private fun cancelRequest(pass: Pass, command: Command.Cancel): Refusal? {
         val decision = decideCancel(pass.state, command.customerId, command.workId, pass.nowMs)
-        return when (decision) {
-            is CancelDecision.Refused -> decision.refusal
-
-            is CancelDecision.Accepted -> {
-                pass.emitAll(decision.events)
-                null
-            }
+        when (decision) {
+            is CancelDecision.Refused -> return refuse(pass, call, decision.refusal)
+            is CancelDecision.Accepted -> pass.emitAll(decision.events)
         }
+        replyWork(pass, call, command.customerId, command.workId)
     }
 
     private fun putContract(pass: Pass, call: CallContext, command: Command.PutContract) {
--- a/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
@@ -69,7 +69,7 @@
             committed = own.after
             records.append(own.records, index)
             observer.committed(CommittedBatch(own.batch, before, committed, leadership?.soft))
-            release(own)
+            release(own, before)
             wakeUp()
         } else {
             val batch = decodeEventBatch(payload)
@@ -96,7 +96,7 @@
         clockAheadMs = maxOf(0, committed.lastBatchMs - clock())
         lastTickMs = 0
         val nowMs = now()
-        leadership = Leadership(term, committed, softState(committed, nowMs), nowMs)
+        leadership = Leadership(term, committed, softState(committed, nowMs, settings), nowMs)
         sessions.reset(committed, nowMs)
         configurations.expedite()
         observer.roleChanged(true, term)
@@ -222,11 +222,11 @@
         }
     }
 
-    private fun release(own: ProposedBatch) {
+    private fun release(own: ProposedBatch, before: CellState) {
         own.batch.events.forEach { event ->
             when (event) {
                 is Event.RequestPlaced -> dispatch(event)
-                is Event.RequestEnded -> notifyWaiters(event)
+                is Event.RequestEnded -> notifyWaiters(event, before)
                 is Event.ContractChanged -> configurations.expedite()
                 else -> Unit
             }
@@ -255,11 +255,14 @@
         if (session.incarnation != event.entryIncarnation) return
         val endpoint = committed.endpoints[event.endpointId] ?: return
         val term = leadership?.term ?: return
-        session.link.send(dispatchOf(term, work, endpoint, now(), settings))
+        val hostCount = committed.entryHosts.size
+        session.link.send(dispatchOf(term, work, endpoint, now(), settings, hostCount))
     }
 
-    private fun notifyWaiters(event: Event.RequestEnded) {
-        val ended = ControlMessage.RequestEnded(event.workId, event.outcome, event.answer)
+    private fun notifyWaiters(event: Event.RequestEnded, before: CellState) {
+        val attempts = before.requests[event.workId]?.attempts
+        val ended =
+            ControlMessage.RequestEnded(event.workId, event.outcome, event.answer, attempts)
         waiters.take(event.workId).forEach { sessions.of(it)?.link?.send(ended) }
     }
 
--- a/src/main/kotlin/dev/jackdawdale/control/ControlSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlSettings.kt
@@ -4,6 +4,9 @@
  * Settings of the control loop.
  *
  * @property tickMs interval of time-driven decisions
+ * @property leaseMs how long a worker may run tasks after a poll
+ * @property leaseMarginMs how long after the lease the tasks of a silent worker are placed again
+ * @property dedupWindowMs how long a resend of ended work or of an applied change is recognised
  * @property dispatchValidMs an entry host sends a dispatch within this time of its receipt, or
  *     never; bounds how long a leaving endpoint can still get new work
  * @property configurationValidMs how long an entry host admits work after a configuration message
@@ -18,8 +21,10 @@
 internal data class ControlSettings(
     val tickMs: Long = 100,
     val leaseMs: Long = 10_000,
+    val leaseMarginMs: Long = 2_000,
+    val dedupWindowMs: Long = 86_400_000,
     val maxPollMs: Long = 1_000,
-    val dispatchValidMs: Long = 2_000,
+    val dispatchValidMs: Long = 1_000,
     val configurationValidMs: Long = 2_000,
     val quorumFreshMs: Long = 1_000,
     val configurationIntervalMs: Long = 500,
--- a/src/main/kotlin/dev/jackdawdale/control/DispatchMessage.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/DispatchMessage.kt
@@ -7,13 +7,18 @@
 /** Path on endpoints that serves requests. */
 internal const val ENDPOINT_PATH = "/v1/run"
 
+/** The connections without a request that each entry host may keep open to [endpoint]. */
+private fun idleConnections(endpoint: Endpoint, entryHostCount: Int): Int =
+    maxOf(0, (endpoint.info.connections - endpoint.info.slots) / maxOf(entryHostCount, 1))
+
 /** The message that makes an entry host send the placed request [work] to [endpoint]. */
 internal fun dispatchOf(
     term: Long,
     work: RequestWork,
     endpoint: Endpoint,
     nowMs: Long,
-    settings: ControlSettings
+    settings: ControlSettings,
+    entryHostCount: Int
 ): ControlMessage.Dispatch {
     val placement = checkNotNull(work.placement) { "${work.spec.workId} is not placed" }
     return ControlMessage.Dispatch(
@@ -28,6 +33,7 @@
         contentType = work.spec.contentType,
         body = work.spec.body,
         validForMs = settings.dispatchValidMs,
-        deadlineInMs = work.spec.deadlineMs - nowMs
+        deadlineInMs = work.spec.deadlineMs - nowMs,
+        maxIdleConnections = idleConnections(endpoint, entryHostCount)
     )
 }
--- a/src/main/kotlin/dev/jackdawdale/control/SoftState.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/SoftState.kt
@@ -9,6 +9,7 @@
 import dev.jackdawdale.placement.observe
 import dev.jackdawdale.placement.placementState
 import dev.jackdawdale.recovery.AttemptRecoveryState
+import dev.jackdawdale.recovery.TaskRecoverySettings
 import dev.jackdawdale.recovery.TaskRecoveryState
 import dev.jackdawdale.recovery.attemptRecoveryState
 import dev.jackdawdale.recovery.observe
@@ -27,12 +28,19 @@
 )
 
 /** Rebuilds the soft state of a new leader; every lease counts as renewed at [nowMs]. */
-internal fun softState(state: CellState, nowMs: Long): SoftState = SoftState(
-    admission = admissionState(state, nowMs),
-    routing = routingState(state, nowMs),
-    attempts = attemptRecoveryState(state, nowMs),
-    placement = placementState(state, nowMs),
-    tasks = taskRecoveryState(state, nowMs)
+internal fun softState(state: CellState, nowMs: Long, settings: ControlSettings): SoftState =
+    SoftState(
+        admission = admissionState(state, nowMs),
+        routing = routingState(state, nowMs),
+        attempts = attemptRecoveryState(state, nowMs),
+        placement = placementState(state, nowMs),
+        tasks = taskRecoveryState(state, nowMs, settings.forTasks())
+    )
+
+private fun ControlSettings.forTasks() = TaskRecoverySettings(
+    leaseMs = leaseMs,
+    leaseMarginMs = leaseMarginMs,
+    dedupWindowMs = dedupWindowMs
 )
 
 internal fun SoftState.observe(
--- a/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
@@ -88,6 +88,7 @@
         timeline.record(EventKind.HOST_STOPPING, settings.host.id.value)
         log.info("stops: finishes work in flight")
         entry?.let { runBlocking { it.awaitDrained() } }
+        runBlocking { http.drain(settings.entry.drainTimeoutMs) }
         control?.handOver()
         http.close()
         entry?.close()
--- a/src/main/kotlin/dev/jackdawdale/host/ProcessSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ProcessSettings.kt
@@ -15,6 +15,7 @@
 import java.security.SecureRandom
 
 private const val RANDOM_KEY_BYTES = 32
+private const val MS_PER_HOUR = 3_600_000L
 
 /** The settings of the HTTP server. */
 internal fun Settings.forHttp(): HttpSettings = HttpSettings(
@@ -58,6 +59,8 @@
 
 internal fun Settings.forControl(): ControlSettings = ControlSettings(
     leaseMs = worker.leaseMs,
+    leaseMarginMs = worker.leaseMarginMs,
+    dedupWindowMs = control.dedupWindowH * MS_PER_HOUR,
     maxPollMs = worker.pollMs
 )
 
--- a/src/main/kotlin/dev/jackdawdale/host/RunHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/RunHost.kt
@@ -7,7 +7,6 @@
 /** Runs a process of the system until SIGTERM; the exit status of the command. */
 internal fun runHost(settings: Settings): Int {
     val process = HostProcess(settings)
-    process.start()
-    runUntilStopped(process::stop)
+    runUntilStopped(process::stop, process::start)
     return ExitCode.OK
 }
--- a/src/main/kotlin/dev/jackdawdale/recovery/AttemptCancel.kt
+++ b/src/main/kotlin/dev/jackdawdale/recovery/AttemptCancel.kt
@@ -9,8 +9,8 @@
 import dev.jackdawdale.model.WorkId
 
 /**
- * Decides a cancellation. A waiting request ends at once; a placed one, or a job, is marked and
- * ends when its attempts have ended.
+ * Decides a cancellation. A waiting request ends at once; a placed one is marked and ends
+ * when its attempt has ended; a job stops its tasks first.
  */
 @Suppress("UnusedParameter") // the time is part of every decision's signature
 internal fun decideCancel(
@@ -22,13 +22,8 @@
     if (!workId.value.startsWith("${customerId.value}/")) return notFound(workId)
     val request = state.requests[workId]
     if (request != null) return CancelDecision.Accepted(cancelRequest(request))
-    val job = state.jobs[workId]
-    return when {
-        job != null && job.cancelRequested -> CancelDecision.Accepted(emptyList())
-        job != null -> CancelDecision.Accepted(listOf(Event.CancelRequested(workId)))
-        workId in state.ended -> CancelDecision.Accepted(emptyList())
-        else -> notFound(workId)
-    }
+    if (workId in state.jobs) return decideJobCancel(state, customerId, workId)
+    return if (workId in state.ended) CancelDecision.Accepted(emptyList()) else notFound(workId)
 }
 
 private fun cancelRequest(work: RequestWork): List<Event> {
--- a/src/main/kotlin/dev/jackdawdale/recovery/TaskCancel.kt
+++ b/src/main/kotlin/dev/jackdawdale/recovery/TaskCancel.kt
@@ -8,30 +8,26 @@
 import dev.jackdawdale.model.WorkId
 import dev.jackdawdale.model.tasksOf
 
-/** The answer to the cancellation of a job. */
-internal sealed interface TaskCancel {
-    /** The job ends; without events it has ended or is being cancelled already. */
-    data class Accepted(val events: List<Event>) : TaskCancel
-
-    data class Refused(val refusal: Refusal) : TaskCancel
-}
-
 /** Decides the cancellation of the job [workId] by its customer. */
-internal fun decideJobCancel(state: CellState, customerId: CustomerId, workId: WorkId): TaskCancel {
+internal fun decideJobCancel(
+    state: CellState,
+    customerId: CustomerId,
+    workId: WorkId
+): CancelDecision {
     val job = state.jobs[workId]
     if (job == null) {
         val owned = workId.value.startsWith("$customerId/")
-        if (owned && workId in state.ended) return TaskCancel.Accepted(emptyList())
-        return TaskCancel.Refused(Refusal.NotFound("job $workId"))
+        if (owned && workId in state.ended) return CancelDecision.Accepted(emptyList())
+        return CancelDecision.Refused(Refusal.NotFound("job $workId"))
     }
     if (job.spec.customerId != customerId) {
-        return TaskCancel.Refused(Refusal.NotFound("job $workId"))
+        return CancelDecision.Refused(Refusal.NotFound("job $workId"))
     }
-    if (job.cancelRequested) return TaskCancel.Accepted(emptyList())
+    if (job.cancelRequested) return CancelDecision.Accepted(emptyList())
     val request = Event.CancelRequested(workId)
     val held = state.tasksOf(job).filter { it.placement != null }
     if (held.isNotEmpty()) {
-        return TaskCancel.Accepted(listOf(request) + stopsOf(held, StopReason.CANCELLED))
+        return CancelDecision.Accepted(listOf(request) + stopsOf(held, StopReason.CANCELLED))
     }
-    return TaskCancel.Accepted(listOf(request) + cancelledEnd(state, job))
+    return CancelDecision.Accepted(listOf(request) + cancelledEnd(state, job))
 }
--- a/src/test/kotlin/dev/jackdawdale/control/ControlLoopTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/control/ControlLoopTest.kt
@@ -66,7 +66,12 @@
             cell.commit()
             val ended = link.sentOf<ControlMessage.RequestEnded>().single()
             ended shouldBe
-                ControlMessage.RequestEnded(WorkId("acme/r1"), Outcome.Succeeded, answer)
+                ControlMessage.RequestEnded(
+                    WorkId("acme/r1"),
+                    Outcome.Succeeded,
+                    answer,
+                    attempts = 1
+                )
             cell.records.map { it.workId to it.answer } shouldBe
                 listOf(WorkId("acme/r1") to answer)
         }
--- a/src/test/kotlin/dev/jackdawdale/recovery/AttemptCancelTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/recovery/AttemptCancelTest.kt
@@ -77,7 +77,14 @@
                     listOf(accepted, ended(false)),
                     expected = accept()
                 ),
-                CancelCase("a job goes on", listOf(job), expected = accept(marked)),
+                CancelCase(
+                    "a job goes on",
+                    listOf(job),
+                    expected = accept(
+                        marked,
+                        Event.JobEnded(marked.workId, Outcome.Cancelled(false))
+                    )
+                ),
                 CancelCase("a job is cancelled twice", listOf(job, marked), expected = accept()),
                 CancelCase(
                     "unknown work counts as cancelled",
--- a/src/test/kotlin/dev/jackdawdale/recovery/TaskRecoveryTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/recovery/TaskRecoveryTest.kt
@@ -134,7 +134,7 @@
         cell.submit("j", taskCount = 2)
         cell.run(1_000)
         val cancel = decideJobCancel(cell.state, CustomerId("acme"), WorkId("acme/j"))
-        cell.append(cancel.shouldBeInstanceOf<TaskCancel.Accepted>().events)
+        cell.append(cancel.shouldBeInstanceOf<CancelDecision.Accepted>().events)
         cell.outcome("j") shouldBe null
         cell.run(3_000)
         cell.outcome("j") shouldBe Outcome.Cancelled(mayHaveRun = true)
@@ -143,14 +143,14 @@
         val cell = cell(0) { lasts }
         cell.submit("j")
         val cancel = decideJobCancel(cell.state, CustomerId("acme"), WorkId("acme/j"))
-        cell.append(cancel.shouldBeInstanceOf<TaskCancel.Accepted>().events)
+        cell.append(cancel.shouldBeInstanceOf<CancelDecision.Accepted>().events)
         cell.outcome("j") shouldBe Outcome.Cancelled(mayHaveRun = false)
     },
     Guard("a customer cancels the job of another") {
         val cell = cell(1) { lasts }
         cell.submit("j")
         decideJobCancel(cell.state, CustomerId("birch"), WorkId("acme/j"))
-            .shouldBeInstanceOf<TaskCancel.Refused>()
+            .shouldBeInstanceOf<CancelDecision.Refused>()
     },
     Guard("urgent work waits for batch work that fills the cell") {
         val cell = cell(1) { lasts }
--- a/src/test/kotlin/dev/jackdawdale/recovery/TaskSequenceTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/recovery/TaskSequenceTest.kt
@@ -139,7 +139,7 @@
     private fun cancel(job: JobWork) {
         val spec = job.spec
         val decision = decideJobCancel(cell.state, spec.customerId, spec.workId)
-        cell.append((decision as TaskCancel.Accepted).events)
+        cell.append((decision as CancelDecision.Accepted).events)
     }
 
     private fun confirmLost() {
