Stamp frames with hybrid time, and say 'unknown' where no leader was asked

Cause: the timeline ordered events of different hosts by their wall clocks. A host without a leader answered a resend with 'ran: no' although the earlier try may have run (found by reading). Change: each message frame carries the sender's hybrid time; entry hosts record typed events; 503 from a host that asked no leader says 'ran: unknown'.

--- a/src/main/kotlin/dev/jackdawdale/entry/Dispatcher.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/Dispatcher.kt
@@ -3,6 +3,7 @@
 import dev.jackdawdale.model.AttemptResult
 import dev.jackdawdale.model.FencingToken
 import dev.jackdawdale.model.HeldAttempt
+import dev.jackdawdale.timeline.EventKind
 import dev.jackdawdale.wire.ControlMessage
 import dev.jackdawdale.wire.EntryMessage
 import io.micrometer.core.instrument.MeterRegistry
@@ -23,7 +24,7 @@
     registry: MeterRegistry,
     private val highestTerm: () -> Long,
     private val report: (EntryMessage.AttemptFinished) -> Unit,
-    private val note: (subject: String, text: String) -> Unit
+    private val note: Note
 ) : AutoCloseable {
     private val group =
         MultiThreadIoEventLoopGroup(settings.dispatchThreads, NioIoHandler.newFactory())
@@ -48,14 +49,22 @@
     fun dispatch(message: ControlMessage.Dispatch, nowNanos: Long) {
         if (message.term < highestTerm()) {
             refusedTerms.increment()
-            note(message.workId.value, "dispatch ${message.token} of old term ${message.term}")
+            note(
+                EventKind.DISPATCH_EXPIRED,
+                message.workId.value,
+                "token ${message.token} of old term ${message.term}"
+            )
             return
         }
         if (!attempts.begin(message.workId, message.token, nowNanos)) {
             duplicates.increment()
             return
         }
-        note(message.workId.value, "dispatch ${message.token} to ${message.endpointId}")
+        note(
+            EventKind.DISPATCH_SENT,
+            message.workId.value,
+            "token ${message.token} to ${message.endpointId}"
+        )
         val exchange = Exchange(message, nowNanos) { finished(message, it) }
         pools.send(exchange)
     }
@@ -75,7 +84,11 @@
     private fun finished(message: ControlMessage.Dispatch, result: AttemptResult) {
         val finished = attempts.finish(message.token, result, System.nanoTime()) ?: return
         results.getValue(result.label).increment()
-        note(message.workId.value, "attempt ${message.token} ${result.label}")
+        note(
+            EventKind.ATTEMPT_FINISHED,
+            message.workId.value,
+            "token ${message.token} ${result.label}"
+        )
         report(finished)
     }
 }
--- a/src/main/kotlin/dev/jackdawdale/entry/EntryHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/EntryHost.kt
@@ -2,6 +2,7 @@
 
 import dev.jackdawdale.model.CustomerId
 import dev.jackdawdale.model.HeldAttempt
+import dev.jackdawdale.timeline.EventKind
 import dev.jackdawdale.wire.ControlClient
 import dev.jackdawdale.wire.ControlClientCallbacks
 import dev.jackdawdale.wire.ControlMessage
@@ -27,7 +28,7 @@
     internal val settings: EntrySettings,
     peer: PeerSettings,
     registry: MeterRegistry,
-    private val note: (subject: String, text: String) -> Unit
+    private val note: Note
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
 
@@ -40,7 +41,7 @@
         ControlClientCallbacks(
             held = { dispatcher.held() },
             onOpened = ::sessionOpened,
-            onLost = { note("session", "lost") },
+            onLost = { note(EventKind.SESSION_LOST, "session", "") },
             onMessage = ::receive
         )
     )
@@ -106,7 +107,7 @@
     fun beginDrain() {
         if (draining) return
         draining = true
-        note("drain", "begun")
+        note(EventKind.HOST_STOPPING, "drain", "readiness is false")
         client.announceDraining()
         scope.launch {
             delay(settings.drainGraceMs)
@@ -132,7 +133,7 @@
     }
 
     private fun sessionOpened(term: Long) {
-        note("session", "open under term $term")
+        note(EventKind.SESSION_OPENED, "session", "term $term")
         dispatcher.resendFinished()
         waiters.accepted().forEach(::askAgainInBackground)
     }
@@ -148,7 +149,11 @@
             is ControlMessage.AttemptAcknowledged -> dispatcher.acknowledged(message.token)
             is ControlMessage.RequestEnded -> waiters.end(message)
             is ControlMessage.Configuration -> contracts.update(message, System.nanoTime())
-            else -> note("session", "ignored ${message::class.simpleName}")
+            else -> note(
+                EventKind.ERROR,
+                "session",
+                "ignored ${message::class.simpleName}"
+            )
         }
     }
 }
@@ -162,5 +167,5 @@
     settings: EntrySettings,
     peer: PeerSettings,
     registry: MeterRegistry,
-    note: (subject: String, text: String) -> Unit = { _, _ -> }
+    note: Note = { _, _, _ -> }
 ): EntryHost = EntryHost(settings, peer, registry, note)
--- a/src/main/kotlin/dev/jackdawdale/entry/Errors.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/Errors.kt
@@ -47,11 +47,16 @@
         "expected version $expectedVersion, but the version is $currentVersion" +
             winner?.let { " since change \"$it\"" }.orEmpty()
     )
-    is Refusal.Unavailable -> error(503, reason, retryAfterMs)
+    // An earlier try with the same request id may have run.
+    is Refusal.Unavailable -> error(503, reason, retryAfterMs, Ran.UNKNOWN)
 }
 
-private fun Refusal.error(status: Int, message: String, retryAfterMs: Long? = null): HttpError =
-    HttpError(status, label, message, Ran.NO, retryAfterMs, refusal = this)
+private fun Refusal.error(
+    status: Int,
+    message: String,
+    retryAfterMs: Long? = null,
+    ran: Ran = Ran.NO
+): HttpError = HttpError(status, label, message, ran, retryAfterMs, refusal = this)
 
 /** The error of a request that ended without an answer. */
 internal fun Outcome.toError(): HttpError = when (this) {
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpCall.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpCall.kt
@@ -67,7 +67,11 @@
 
 internal fun badRequest(label: String, message: String): HttpError = HttpError(400, label, message)
 
-internal fun unavailable(label: String, message: String, ran: Ran = Ran.NO): HttpError =
+/**
+ * The error of a host that cannot ask the leader now. This try ran nothing, but an earlier try with
+ * the same request id may have run, so the answer does not say that the request was not run.
+ */
+internal fun unavailable(label: String, message: String, ran: Ran = Ran.UNKNOWN): HttpError =
     HttpError(503, label, message, ran, retryAfterMs = UNAVAILABLE_RETRY_MS)
 
 private const val UNAVAILABLE_RETRY_MS = 1_000L
--- a/src/main/kotlin/dev/jackdawdale/host/CommittedEvents.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/CommittedEvents.kt
@@ -189,13 +189,3 @@
 
     is Event.DedupWindowMoved -> Unit
 }
-
-/** The kind of an event that the entry role reports as text. */
-internal fun noteKind(text: String): EventKind = when {
-    text.startsWith("dispatch") && "old term" in text -> EventKind.DISPATCH_EXPIRED
-    text.startsWith("dispatch") -> EventKind.DISPATCH_SENT
-    text.startsWith("attempt") -> EventKind.ATTEMPT_FINISHED
-    text.startsWith("open") -> EventKind.SESSION_OPENED
-    text == "lost" -> EventKind.SESSION_LOST
-    else -> EventKind.ERROR
-}
--- a/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
@@ -18,6 +18,7 @@
 import dev.jackdawdale.telemetry.prometheusRegistry
 import dev.jackdawdale.timeline.EventKind
 import dev.jackdawdale.timeline.timeline
+import dev.jackdawdale.wire.FrameClock
 import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.runBlocking
 import org.apache.logging.log4j.Level
@@ -37,6 +38,7 @@
     // millisecond is not possible.
     private val incarnation = System.currentTimeMillis()
     private val clusterKey = settings.readClusterKey()
+    private val frameClock = FrameClock(timeline::stamp, timeline::observe)
 
     init {
         val level = Level.valueOf(settings.log.level.name)
@@ -45,7 +47,7 @@
     }
 
     private val control: ControlRole? = if (settings.hasRole(Role.CONTROL)) {
-        val peer = settings.forPeers(settings.control.replicas, incarnation, clusterKey)
+        val peer = settings.forPeers(settings.control.replicas, incarnation, clusterKey, frameClock)
         ControlRole(
             settings,
             peer,
@@ -58,7 +60,7 @@
     }
 
     private val entry: EntryHost? = if (settings.hasRole(Role.ENTRY)) {
-        val peer = settings.forPeers(settings.controlHosts(), incarnation, clusterKey)
+        val peer = settings.forPeers(settings.controlHosts(), incarnation, clusterKey, frameClock)
         entryHost(settings.forEntry(), peer, registry, ::note)
     } else {
         null
@@ -99,8 +101,8 @@
     private fun routes(): List<Route> = entry?.routes.orEmpty() +
         processRoutes(registry, ::notReadyBecause, timeline::json)
 
-    private fun note(subject: String, text: String) =
-        timeline.record(noteKind(text), subject, settings.host.id.value, details = text)
+    private fun note(kind: EventKind, subject: String, details: String) =
+        timeline.record(kind, subject, settings.host.id.value, details = details)
 
     private fun notReadyBecause(): String? = when {
         stopping -> "stopping"
--- a/src/main/kotlin/dev/jackdawdale/host/ProcessSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ProcessSettings.kt
@@ -9,6 +9,7 @@
 import dev.jackdawdale.replica.ReplicaSettings
 import dev.jackdawdale.settings.HostAddress
 import dev.jackdawdale.settings.Settings
+import dev.jackdawdale.wire.FrameClock
 import dev.jackdawdale.wire.PeerAddress
 import dev.jackdawdale.wire.PeerSettings
 import java.nio.file.Files
@@ -37,7 +38,8 @@
 internal fun Settings.forPeers(
     peers: List<HostAddress>,
     incarnation: Long,
-    clusterKey: ByteArray
+    clusterKey: ByteArray,
+    clock: FrameClock
 ): PeerSettings = PeerSettings(
     hostId = host.id,
     incarnation = incarnation,
@@ -47,7 +49,8 @@
     address = peer.address,
     port = peer.port,
     controlHosts = peers.associate { it.hostId to PeerAddress(it.address, it.port) },
-    maxFrameBytes = peer.maxFrameBytes
+    maxFrameBytes = peer.maxFrameBytes,
+    clock = clock
 )
 
 internal fun Settings.forEntry(): EntrySettings = EntrySettings(
--- a/src/main/kotlin/dev/jackdawdale/wire/FrameLink.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/FrameLink.kt
@@ -119,7 +119,11 @@
     }
 
     private fun decode(frame: ByteArray): I = try {
-        decoding("message") { cellCbor.decodeFromByteArray(types.incoming, frame) }
+        val time = frameTimeOrNull(frame)
+            ?: throw BadFrame("message frame of ${frame.size} bytes")
+        settings.clock.observe(time)
+        val message = frame.copyOfRange(FRAME_TIME_BYTES, frame.size)
+        decoding("message") { cellCbor.decodeFromByteArray(types.incoming, message) }
     } catch (e: CorruptPayload) {
         throw BadFrame("undecodable message of ${frame.size} bytes", e)
     }
@@ -141,14 +145,17 @@
         if (message == null) return raw.output.writeFrame(emptyFrame)
         queuedMessages.decrementAndGet()
         queuedBytes.addAndGet(-types.weightBytes(message))
-        val frame = cellCbor.encodeToByteArray(types.outgoing, message)
+        val frame = frameOf(message)
         if (frame.size <= settings.maxFrameBytes) return raw.output.writeFrame(frame)
         val kind = (message as Any)::class.simpleName
         log.error("dropped a {} of {} bytes to {}", kind, frame.size, peer.hostId)
         val instead = types.insteadOfOversized(message) ?: return
-        raw.output.writeFrame(cellCbor.encodeToByteArray(types.outgoing, instead))
+        raw.output.writeFrame(frameOf(instead))
     }
 
+    private fun frameOf(message: O): ByteArray =
+        timedFrame(settings.clock.stamp(), cellCbor.encodeToByteArray(types.outgoing, message))
+
     private suspend fun CoroutineScope.watchSilence() {
         while (closeReason.get() == null) {
             delay(settings.heartbeatMs)
--- a/src/main/kotlin/dev/jackdawdale/wire/PeerSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/PeerSettings.kt
@@ -20,6 +20,7 @@
  * @property silenceTimeoutMs a connection without any frame for this time is closed
  * @property sessionSilenceMs the same for an entry host's session; it bounds the age of a dispatch
  * that the network held back
+ * @property clock stamps the messages of this process for the timeline
  * @property maxUnprovedConnections accepted connections whose handshake may be under way at once
  */
 internal data class PeerSettings(
@@ -41,5 +42,6 @@
     val sessionSilenceMs: Long = 2_000,
     val reconnectMinMs: Long = 50,
     val reconnectMaxMs: Long = 1_000,
-    val maxUnprovedConnections: Int = 256
+    val maxUnprovedConnections: Int = 256,
+    val clock: FrameClock = FrameClock()
 )
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/proof/PlannedStopIT.kt
@@ -0,0 +1,63 @@
+package dev.jackdawdale.proof
+
+import dev.jackdawdale.standin.JournalEvent
+import dev.jackdawdale.testing.CallerAnswer
+import dev.jackdawdale.testing.CellPlan
+import dev.jackdawdale.testing.TestCell
+import dev.jackdawdale.testing.violations
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import java.util.concurrent.TimeUnit
+
+private const val REQUESTS = 80
+private const val RUN_MS = 400
+
+private class Stop(val name: String, val victim: TestCell.() -> String)
+
+private val stops = listOf(
+    Stop("leader") { awaitLeader() },
+    Stop("follower") {
+        val leader = awaitLeader()
+        listOf("c1", "c2", "c3").first { it != leader }
+    },
+    Stop("entry host") { "e1" },
+    Stop("endpoint") { "ep1" }
+)
+
+/** A planned stop of each role cuts off no request in flight and ends with status 0. */
+class PlannedStopIT :
+    FunSpec({
+        withData(nameFn = { it.name }, stops) { stop ->
+            TestCell(CellPlan(proxied = false)).use { cell ->
+                cell.startHosts()
+                cell.awaitReady()
+                cell.awaitUntil("contract accepted", 10_000) { cell.putContract() == 200 }
+                listOf("ep1", "ep2", "ep3").forEach {
+                    cell.startEndpoint(it, "planning", "--slots", "8")
+                }
+                Callers(cell.entryHosts.map { cell.url(it.id) }, REQUESTS).use { callers ->
+                    val pending = List(REQUESTS) {
+                        callers.send(
+                            CallerRequest("r$it", "run_ms=$RUN_MS", idempotent = false, kind = "k")
+                        )
+                    }
+                    cell.awaitUntil("requests run", 30_000) {
+                        cell.journals().any { it.event == JournalEvent.START }
+                    }
+                    cell.process(stop.victim(cell)).terminate() shouldBe 0
+                    val last = pending.map { it.get(60, TimeUnit.SECONDS) }
+                    withClue(cell.logs()) {
+                        last.filter { it.outcome != "succeeded" }.shouldBeEmpty()
+                        callers.answers.filter(CallerAnswer::wasCutOff).shouldBeEmpty()
+                        violations(cell.evidenceAt("e2", callers.answers)).shouldBeEmpty()
+                    }
+                }
+            }
+        }
+    })
+
+/** No answer at all, or one that says that the request may have run. */
+private fun CallerAnswer.wasCutOff(): Boolean = status == null || outcome == "may_have_run"
--- a/src/test/kotlin/dev/jackdawdale/proof/ProofCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/proof/ProofCell.kt
@@ -3,8 +3,8 @@
 import dev.jackdawdale.standin.httpClient
 import dev.jackdawdale.testing.CallerAnswer
 import dev.jackdawdale.testing.Evidence
-import dev.jackdawdale.testing.RecordClaim
 import dev.jackdawdale.testing.TestCell
+import dev.jackdawdale.testing.recordClaims
 import java.io.IOException
 import java.net.URI
 import java.net.http.HttpRequest
@@ -14,6 +14,7 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.boolean
 import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
@@ -69,8 +70,8 @@
     "request_burst":10000,"max_queued_requests":10000,"max_queued_jobs":1000}"""
 
 /** Waits until no work is waiting or running, so that the records are complete. */
-internal fun TestCell.awaitIdle() = awaitUntil("all work ended", 90_000) {
-    val status = json("/v1/cell") ?: json("/v1/cell", entryHosts.last().id)
+private fun TestCell.awaitIdle(hostId: String) = awaitUntil("all work ended", 90_000) {
+    val status = json("/v1/cell", hostId)
     status != null &&
         listOf(
             "waiting_requests",
@@ -81,34 +82,45 @@
 }
 
 /** The journals, answers and records, read after all work has ended. */
-internal fun TestCell.evidence(answers: Collection<CallerAnswer>): Evidence {
-    awaitIdle()
-    return Evidence(journals(), answers.toList(), recordClaims(), recordsAreComplete = true)
+internal fun TestCell.evidence(answers: Collection<CallerAnswer>): Evidence =
+    evidenceAt(entryHosts.first().id, answers)
+
+/** Like [evidence], asked at the entry host [hostId]. */
+internal fun TestCell.evidenceAt(hostId: String, answers: Collection<CallerAnswer>): Evidence {
+    awaitIdle(hostId)
+    return Evidence(
+        journals(),
+        answers.toList(),
+        recordClaims(recordLines(hostId).joinToString("\n")),
+        recordsAreComplete = true
+    )
 }
 
-internal fun TestCell.recordLines(): List<JsonObject> {
-    val lines = mutableListOf<JsonObject>()
+private fun TestCell.recordLines(hostId: String): List<String> {
+    val lines = mutableListOf<String>()
     awaitUntil("records of all ended work", 30_000) {
         lines.clear()
-        val ended = json("/v1/cell")?.get("ended_work")?.jsonPrimitive?.long
+        val ended = json("/v1/cell", hostId)?.get("ended_work")?.jsonPrimitive?.long
         while (ended != null && lines.size < ended) {
-            val page = call("GET", "/v1/records?from_number=${lines.size}&limit=500")
+            val path = "/v1/records?from_number=${lines.size}&limit=500"
+            val page = call("GET", path, hostId = hostId)
                 ?.takeIf { it.statusCode() == 200 }?.body().orEmpty().lines()
                 .filter { it.isNotBlank() }
             if (page.isEmpty()) break
-            lines += page.map { Json.parseToJsonElement(it).jsonObject }
+            lines += page
         }
         lines.size.toLong() == ended
     }
     return lines
 }
 
-private fun TestCell.recordClaims(): List<RecordClaim> = recordLines().map { line ->
-    RecordClaim(
-        workId = line.getValue("work_id").jsonPrimitive.content,
-        outcome = line.getValue("outcome").jsonPrimitive.content,
-        mayHaveRun = line.getValue("ran").jsonPrimitive.content != "no",
-        idempotent = (line["request"] as? JsonObject)
-            ?.getValue("idempotent")?.jsonPrimitive?.boolean ?: true
-    )
+/** True when the replica on [hostId] is a voter that holds everything committed. */
+internal fun TestCell.hasCaughtUp(hostId: String): Boolean {
+    val status = entryHosts.firstNotNullOfOrNull { json("/v1/cell", it.id) } ?: return false
+    val committed = status.getValue("commit_index").jsonPrimitive.long
+    return status.getValue("replicas").jsonArray.map { it.jsonObject }.any {
+        it.getValue("host_id").jsonPrimitive.content == hostId &&
+            it.getValue("voter").jsonPrimitive.boolean &&
+            it.getValue("match_index").jsonPrimitive.long >= committed
+    }
 }
--- a/src/test/kotlin/dev/jackdawdale/wire/PeerNetworkTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/wire/PeerNetworkTest.kt
@@ -77,7 +77,7 @@
             val sender = Recorder(loopbackPeer("c2", port))
             sender.use {
                 eventually(patience) { sender.network.isConnected(HostId("c1")) shouldBe true }
-                val large = "x".repeat(settings.maxFrameBytes - 16)
+                val large = "x".repeat(settings.maxFrameBytes - FRAME_TIME_BYTES - 16)
                 val texts = List(1_000) { "m$it" } + large
                 texts.forEach { sender.network.send(HostId("c1"), it) shouldBe true }
                 eventually(patience) { first.events.toList() shouldBe texts }
