--- a/src/main/kotlin/dev/jackdawdale/bench/HttpLoad.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/HttpLoad.kt
@@ -49,7 +49,7 @@
         }
     }
 
-    private fun serve(socket: Socket) = socket.use {
+    private fun serve(socket: Socket): Unit = socket.use {
         it.tcpNoDelay = true
         val input = BufferedInputStream(it.getInputStream())
         try {
--- a/src/test/kotlin/dev/jackdawdale/testing/CellPlan.kt
+++ b/src/test/kotlin/dev/jackdawdale/testing/CellPlan.kt
@@ -1,7 +1,9 @@
 package dev.jackdawdale.testing
 
+import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicInteger
 
 /**
  * The shape of a [TestCell].
@@ -33,12 +35,33 @@
     }
 }
 
-/** Ports that were free a moment ago; all are held until the last one is found. */
+/**
+ * Ports that were free a moment ago; all are held until the last one is found.
+ *
+ * They lie below the range from which the kernel takes ports for outgoing connections. Ports of that
+ * range were taken between this check and the start of the process.
+ */
 internal fun freePorts(count: Int): List<Int> {
-    val sockets = List(count) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
+    val sockets = generateSequence { nextPort.getAndIncrement() }
+        .map { FIRST_PORT + it % PORT_COUNT }
+        .mapNotNull(::listenOrNull)
+        .take(count)
+        .toList()
     return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
 }
 
+private const val FIRST_PORT = 10_000
+private const val PORT_COUNT = 22_000
+
+// Each JVM starts elsewhere, so that two test runs at the same time seldom meet.
+private val nextPort = AtomicInteger((ProcessHandle.current().pid() * 101 % PORT_COUNT).toInt())
+
+private fun listenOrNull(port: Int): ServerSocket? = try {
+    ServerSocket(port, 1, InetAddress.getLoopbackAddress())
+} catch (_: IOException) {
+    null
+}
+
 /**
  * The INI file of [host]. [peerPort] gives the port under which it reaches another control host,
  * which is a proxy's when links are proxied.
