Remove a twin rule, a field nobody reads and a repeated computation

Cause: reading the whole change again. Change: the phase of a restarted endpoint has one rule (model), which the announcement's decision calls; the session's last-heard time, kept by ControlSessions, is gone from ControlSession; a worker's orders are computed once for each poll that is answered at once. Behaviour is unchanged.

--- a/src/main/kotlin/dev/jackdawdale/control/ControlSession.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlSession.kt
@@ -22,6 +22,5 @@
  */
 internal class ControlSession(val link: SessionLink, val incarnation: Long) {
     var draining: Boolean = false
-    var lastHeardMs: Long = 0
     var sentVersions: Map<CustomerId, Long> = emptyMap()
 }
--- a/src/main/kotlin/dev/jackdawdale/control/ControlSessions.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlSessions.kt
@@ -31,7 +31,6 @@
     fun of(hostId: HostId): ControlSession? = byHost[hostId]
 
     fun heard(session: ControlSession, nowMs: Long) {
-        session.lastHeardMs = nowMs
         lastHeardMs = lastHeardMs + (session.link.hostId to nowMs)
     }
 
--- a/src/main/kotlin/dev/jackdawdale/control/PollAnswers.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/PollAnswers.kt
@@ -2,6 +2,7 @@
 
 import dev.jackdawdale.model.CellState
 import dev.jackdawdale.model.WorkerId
+import dev.jackdawdale.model.WorkerOrder
 import dev.jackdawdale.recovery.ordersFor
 import dev.jackdawdale.wire.ControlMessage
 import dev.jackdawdale.wire.Reply
@@ -25,7 +26,7 @@
     fun answerOrHold(poll: WorkerPoll) {
         val orders = ordersFor(committed(), poll.workerId, poll.running)
         val mayWait = orders.isEmpty() && poll.acknowledged.isEmpty() && nowMs() < poll.untilMs
-        if (mayWait) held.hold(poll) else answer(poll)
+        if (mayWait) held.hold(poll) else answer(poll, orders)
     }
 
     /** Answers the held poll of a worker if there is an order for it now. */
@@ -33,10 +34,11 @@
         held.take(workerId)?.let(::answerOrHold)
     }
 
-    fun answerDue() = held.takeDue(nowMs()).forEach(::answer)
+    fun answerDue() = held.takeDue(nowMs()).forEach { poll ->
+        answer(poll, ordersFor(committed(), poll.workerId, poll.running))
+    }
 
-    private fun answer(poll: WorkerPoll) {
-        val orders = ordersFor(committed(), poll.workerId, poll.running)
+    private fun answer(poll: WorkerPoll, orders: List<WorkerOrder>) {
         leaseGranted(poll.workerId)
         val reply = Reply.WorkerOrders(orders, settings.leaseMs, poll.acknowledged)
         poll.link.send(ControlMessage.ReplyTo(poll.callId, reply))
--- a/src/main/kotlin/dev/jackdawdale/membership/EndpointDecisions.kt
+++ b/src/main/kotlin/dev/jackdawdale/membership/EndpointDecisions.kt
@@ -5,6 +5,7 @@
 import dev.jackdawdale.model.EndpointInfo
 import dev.jackdawdale.model.EndpointPhase
 import dev.jackdawdale.model.Event
+import dev.jackdawdale.model.phaseAfterRestart
 
 /**
  * Decides what an endpoint's announcement changes. An announcement of an older incarnation
@@ -20,13 +21,10 @@
     if (info.incarnation < known.info.incarnation) return emptyList()
     val restarted = info.incarnation > known.info.incarnation
     val joined = if (known.info == info) emptyList() else listOf(Event.EndpointJoined(info))
-    val present = if (restarted) restartPhase(known.phase) else known.phase
+    val present = if (restarted) phaseAfterRestart(known.phase) else known.phase
     return joined + phaseChange(info, present, phaseAfter(present, leaving))
 }
 
-private fun restartPhase(phase: EndpointPhase): EndpointPhase =
-    if (phase == EndpointPhase.STOPPED) EndpointPhase.STOPPED else EndpointPhase.ACTIVE
-
 private fun phaseAfter(phase: EndpointPhase, leaving: Boolean): EndpointPhase = when {
     leaving && phase != EndpointPhase.STOPPED -> EndpointPhase.DRAINING
     phase == EndpointPhase.GONE -> EndpointPhase.ACTIVE
--- a/src/main/kotlin/dev/jackdawdale/model/AppliedMembers.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/AppliedMembers.kt
@@ -20,7 +20,7 @@
 }
 
 /** An operator's stop outlives a restart of the endpoint; everything else starts afresh. */
-private fun phaseAfterRestart(phase: EndpointPhase): EndpointPhase =
+internal fun phaseAfterRestart(phase: EndpointPhase): EndpointPhase =
     if (phase == EndpointPhase.STOPPED) EndpointPhase.STOPPED else EndpointPhase.ACTIVE
 
 internal fun CellState.applyEndpointPhaseChanged(event: Event.EndpointPhaseChanged): CellState {
