--- a/src/main/kotlin/dev/jackdawdale/bench/LoopbackLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/LoopbackLeader.kt
@@ -119,6 +119,7 @@
     private fun receive(session: ControlSession, message: EntryMessage) {
         when (message) {
             is EntryMessage.SessionOpen -> open(session, message)
+            is EntryMessage.AdviceAnswered -> Unit
             is EntryMessage.SessionHeartbeat -> Unit
             is EntryMessage.CommandCall -> {
                 if (keepsCalls) commands += message.command
--- a/src/main/kotlin/dev/jackdawdale/cli/Main.kt
+++ b/src/main/kotlin/dev/jackdawdale/cli/Main.kt
@@ -2,6 +2,7 @@
 
 import dev.jackdawdale.host.runHost
 import kotlin.system.exitProcess
+import dev.jackdawdale.platform.PlatformCommand
 import picocli.CommandLine
 import picocli.CommandLine.Command
 
@@ -20,6 +21,7 @@
 internal fun rootCommandLine(serve: Serve = ::serveIsNotWired): CommandLine =
     CommandLine(RootCommand())
         .addSubcommand(ServeCommand(serve))
+        .addSubcommand(PlatformCommand())
         .addSubcommand(CheckConfigCommand())
         .addSubcommand(CallCommand())
         .addSubcommand(SubmitCommand())
--- a/src/main/kotlin/dev/jackdawdale/control/CellView.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/CellView.kt
@@ -41,6 +41,7 @@
         is Query.Queue -> reply(queue(query))
         Query.CellStatus -> reply(cellStatus())
         is Query.Records -> records.search(query, reply)
+        is Query.Staged -> error("staged queries are answered by the extension")
     }
 
     private fun work(query: Query.Work, reply: (Reply) -> Unit) {
--- a/src/main/kotlin/dev/jackdawdale/control/CommandHandler.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/CommandHandler.kt
@@ -43,7 +43,8 @@
     private val answerOrHold: (WorkerPoll) -> Unit,
     private val answerQuery: (CallContext, Query) -> Unit,
     private val answerEnded: (CallContext, Asked) -> Unit,
-    private val refused: (Refusal) -> Unit
+    private val refused: (Refusal) -> Unit,
+    private val extension: ControlExtension
 ) {
     fun handle(pass: Pass, leading: Leadership, call: CallContext, command: Command) =
         when (command) {
@@ -56,6 +57,10 @@
             is Command.OperateEndpoint -> operateEndpoint(pass, call, command)
             is Command.OperateWorker -> operateWorker(pass, call, command)
             is Command.ConfirmWorkerLost -> confirmWorkerLost(pass, call, command)
+
+            is Command.Staged -> extension.handle(pass, command.command) { reply ->
+                call.reply(Reply.Staged(reply))
+            }
         }
 
     private fun submitRequest(pass: Pass, call: CallContext, command: Command.SubmitRequest) {
--- a/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
@@ -14,6 +14,7 @@
 import dev.jackdawdale.wire.ControlMessage
 import dev.jackdawdale.wire.EntryMessage
 import dev.jackdawdale.wire.Query
+import dev.jackdawdale.wire.Reply
 
 /**
  * Runs every decision of the cell on one thread.
@@ -31,7 +32,8 @@
     private val records: RecordAccess,
     private val clock: () -> Long,
     private val wakeUp: () -> Unit,
-    private val observer: ControlObserver = ControlObserver()
+    private val observer: ControlObserver = ControlObserver(),
+    private val extension: ControlExtension = ControlExtension()
 ) {
     private val inbox = ArrayDeque<(Pass) -> Unit>()
     private val sessions = ControlSessions()
@@ -44,7 +46,8 @@
         polls::answerOrHold,
         ::answerQuery,
         ::answerEnded,
-        observer.refused
+        observer.refused,
+        extension
     )
     private var leadership: Leadership? = null
     private var lastTickMs = 0L
@@ -99,6 +102,7 @@
         leadership = Leadership(term, committed, softState(committed, nowMs, settings), nowMs)
         sessions.reset(committed, nowMs)
         configurations.expedite()
+        extension.becameLeader(term, committed, nowMs)
         observer.roleChanged(true, term)
     }
 
@@ -107,6 +111,7 @@
         inbox.clear()
         waiters.clear()
         polls.clear()
+        extension.lostLeadership()
         sessions.closeAll(ControlMessage.NotLeader(log.status().leader))
         observer.roleChanged(false, term)
     }
@@ -125,6 +130,24 @@
 
     fun sessionClosed(link: SessionLink) = sessions.closed(link)
 
+    /** Hosts whose sessions may be asked for calls to outside services. */
+    fun callingHosts(): Set<HostId> = sessions.dispatchable()
+
+    /** Sends [message] to an entry host; false when it has no session. */
+    fun sendTo(hostId: HostId, message: ControlMessage): Boolean {
+        val session = sessions.of(hostId) ?: return false
+        session.link.send(message)
+        return true
+    }
+
+    /** Decides [action] in the next pass; false when this replica does not lead. */
+    fun submit(action: (Pass) -> Unit): Boolean {
+        if (leadership == null) return false
+        inbox += action
+        wakeUp()
+        return true
+    }
+
     private fun handle(pass: Pass, link: SessionLink, message: EntryMessage) {
         val leading = leadership ?: return
         if (message is EntryMessage.SessionOpen) return pass.openSession(leading, link, message)
@@ -137,6 +160,13 @@
 
             is EntryMessage.AttemptFinished -> pass.finishAttempt(session, message)
 
+            is EntryMessage.AdviceAnswered -> extension.adviceAnswered(
+                pass,
+                link.hostId,
+                message.callId,
+                message.result
+            )
+
             is EntryMessage.CommandCall ->
                 commands.handle(
                     pass,
@@ -165,7 +195,7 @@
         sessions.open(session, nowMs)
         joinEntryHost(message)
         whenDurable {
-            link.send(ControlMessage.SessionAccepted(leading.term))
+            link.send(ControlMessage.SessionAccepted(leading.term, log.status().controlHosts))
             configurations.send(session, committed, leading.term)
         }
     }
@@ -182,6 +212,7 @@
         val ticks = pass.nowMs - lastTickMs >= settings.tickMs
         if (ticks) decideDueTimes(pass, leading)
         pass.schedule(sessions.dispatchable(), settings.maxPlacementsPerPass)
+        extension.decide(pass)
         finish(pass, leading)
         if (ticks) sendDue(leading)
         observer.passFinished(System.nanoTime() - startedNanos)
@@ -273,6 +304,9 @@
     }
 
     private fun answerQuery(call: CallContext, query: Query) {
+        if (query is Query.Staged) {
+            return call.reply(Reply.Staged(extension.answer(committed, query.query, now())))
+        }
         view()?.answer(query, call::reply)
     }
 
--- a/src/main/kotlin/dev/jackdawdale/control/ReplicatedLog.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ReplicatedLog.kt
@@ -33,6 +33,9 @@
     val replicas: List<ReplicaView>
 )
 
+/** The hosts of all replicas. */
+internal val LogStatus.controlHosts: List<HostId> get() = replicas.map { it.hostId }
+
 /**
  * The records of ended work as the control loop uses them. Results arrive on the control thread.
  *
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpCall.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpCall.kt
@@ -20,13 +20,19 @@
 /** Who may make a call. */
 internal enum class Access { ANYONE, CUSTOMER, MEMBER, OPERATOR, CUSTOMER_OR_OPERATOR }
 
-/** One complete HTTP request. */
+/**
+ * One complete HTTP request.
+ *
+ * @property rawPath the path as it was sent
+ */
 internal class HttpCall(
     val principal: Principal,
     val path: Map<String, String>,
     val query: Map<String, List<String>>,
     val headers: HttpHeaders,
-    val body: ByteArray
+    val body: ByteArray,
+    val method: String = "",
+    val rawPath: String = ""
 )
 
 /** The answer to a call. */
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpConnection.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpConnection.kt
@@ -135,8 +135,15 @@
         val match = server.router.find(request.method, request.path)
         onRoute(match.route)
         val principal = server.authenticator.authenticate(match.route.access, request.headers)
-        val call =
-            HttpCall(principal, match.path, request.query(), request.headers, request.body)
+        val call = HttpCall(
+                principal,
+                match.path,
+                request.query(),
+                request.headers,
+                request.body,
+                request.method,
+                request.path
+            )
         match.route.handle(call)
     } catch (e: HttpError) {
         e.toResult()
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpServer.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpServer.kt
@@ -56,7 +56,7 @@
     /** Starts to listen; fails when the port is taken or when `none` is set off loopback. */
     fun start() {
         val address = InetAddress.getByName(settings.address)
-        require(settings.authMode == AuthMode.TOKEN || address.isLoopbackAddress) {
+        require(settings.authMode != AuthMode.NONE || address.isLoopbackAddress) {
             "authentication mode none is allowed on loopback addresses only, not on $address"
         }
         val bootstrap = ServerBootstrap()
@@ -115,15 +115,17 @@
  *
  * @param customerTokens what this process knows of a customer's tokens; without the entry role
  * it knows nothing
+ * @param fallback takes the calls that no route takes
  */
 internal fun httpServer(
     settings: HttpSettings,
     routes: List<Route>,
     customerTokens: (CustomerId) -> CustomerTokens = { CustomerTokens.Stale },
-    registry: MeterRegistry = CompositeMeterRegistry()
+    registry: MeterRegistry = CompositeMeterRegistry(),
+    fallback: Route? = null
 ): HttpServer {
     val authenticator = Authenticator(settings, customerTokens)
     val context =
-        ServerContext(settings, Router(routes), authenticator, HttpMetrics(registry))
+        ServerContext(settings, Router(routes, fallback), authenticator, HttpMetrics(registry))
     return HttpServer(settings, context)
 }
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpSettings.kt
@@ -8,7 +8,10 @@
     TOKEN,
 
     /** No proof; allowed on loopback addresses only. */
-    NONE
+    NONE,
+
+    /** No proof; the network admits nobody but those who may call. */
+    PRIVATE_NETWORK
 }
 
 /**
--- a/src/main/kotlin/dev/jackdawdale/entry/Router.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/Router.kt
@@ -21,8 +21,12 @@
     }
 }
 
-/** Finds the route of a path and method. */
-internal class Router(routes: List<Route>) {
+/**
+ * Finds the route of a path and method.
+ *
+ * @param fallback takes the calls that no route takes
+ */
+internal class Router(routes: List<Route>, private val fallback: Route? = null) {
     private val patterns = routes.map(::PathPattern)
 
     /** Throws [HttpError] 404 for an unknown path and 405 for a wrong method. */
@@ -34,6 +38,7 @@
             if (pattern.route.method == method) return Match(pattern.route, parameters)
             allowed += pattern.route.method
         }
+        if (fallback != null) return Match(fallback, emptyMap())
         if (allowed.isEmpty()) throw HttpError(404, "unknown_path", "no call has this path")
         val names = allowed.joinToString(", ")
         throw HttpError(
--- a/src/main/kotlin/dev/jackdawdale/host/CommittedEvents.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/CommittedEvents.kt
@@ -178,6 +178,8 @@
 
     is Event.AbandonedSlotsFreed -> Unit
 
+    is Event.Staged -> Unit
+
     is Event.WorkerJoined -> record(EventKind.MEMBER_JOINED, "${event.info.workerId}")
 
     is Event.WorkerPhaseChanged ->
--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -1,5 +1,14 @@
 package dev.jackdawdale.host
 
+import dev.jackdawdale.control.ControlExtension
+import dev.jackdawdale.control.Pass
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.push.AdviceCall
+import dev.jackdawdale.push.LeaderSurroundings
+import dev.jackdawdale.push.PushSettings
+import dev.jackdawdale.push.StagedControl
+import dev.jackdawdale.push.WorkerCalls
+import dev.jackdawdale.replica.ReplicaSettings
 import dev.jackdawdale.control.ControlLoop
 import dev.jackdawdale.control.ControlObserver
 import dev.jackdawdale.control.LogStatus
@@ -46,13 +55,16 @@
  * thread for disk writes, one for snapshots and records.
  *
  * @param storageFailed called once when the disk can no longer be trusted
+ * @param workerCalls how orders reach workers; without it staged jobs are not served
  */
 internal class ControlRole(
     settings: Settings,
     peer: PeerSettings,
     observer: ControlObserver,
     private val clock: () -> Long,
-    private val storageFailed: (StorageError) -> Unit
+    private val storageFailed: (StorageError) -> Unit,
+    replicaSettings: ReplicaSettings = settings.forReplica(),
+    workerCalls: WorkerCalls? = null
 ) : AutoCloseable {
     private val control: ScheduledExecutorService = singleThread("control")
     private val storageThread = singleThread("storage")
@@ -83,6 +95,20 @@
         )
     )
 
+    private val staged: StagedControl? = workerCalls?.let {
+        StagedControl(
+            PushSettings(),
+            LeaderSurroundings(
+                calls = it,
+                submit = { action -> onControl { loop.submit(action) } },
+                quorumHeardMs = { logStatus().quorumHeardAtMs },
+                clock = clock,
+                callingHosts = { loop.callingHosts() },
+                askAdvice = ::askAdvice
+            )
+        )
+    }
+
     private val loop: ControlLoop = ControlLoop(
         hostId = settings.host.id,
         settings = settings.forControl(),
@@ -90,11 +116,12 @@
         records = recordAccess(records, recordReader, control),
         clock = clock,
         wakeUp = ::schedulePass,
-        observer = observer
+        observer = observer,
+        extension = staged?.extension ?: ControlExtension()
     )
 
     private val replica: Replica = replica(
-        settings.forReplica(),
+        replicaSettings,
         folder,
         ReplicaCallbacks(
             send = { to, message -> network.send(to, message) },
@@ -120,6 +147,27 @@
     fun status(): CompletableFuture<ReplicaStatus> =
         CompletableFuture.supplyAsync({ replica.status(clock()) }, control)
 
+    /**
+     * Decides [action] about staged jobs at the leader. [notLeading] gets the leader's host, when
+     * known, if this replica does not lead; neither may be called when leadership is lost.
+     */
+    fun submitStaged(
+        action: (StagedControl, Pass) -> Unit,
+        notLeading: (HostId?) -> Unit
+    ) = onControl {
+        val control = staged
+        val taken = control != null && loop.submit { pass -> action(control, pass) }
+        if (!taken) notLeading(replica.status(clock()).leader)
+    }
+
+    /** The committed state; to be read on the control thread only. */
+    val committed: CellState get() = loop.committed
+
+    private fun askAdvice(call: AdviceCall): Boolean {
+        val ids = call.asked.map { it.workerId }
+        return loop.sendTo(call.hostId, ControlMessage.AskAdvice(call.callId, call.stepId, ids))
+    }
+
     /** Hands leadership over; false when no other replica took it in time. */
     fun handOver(): Boolean {
         val deadlineMs = clock() + HANDOVER_TIMEOUT_MS
--- a/src/main/kotlin/dev/jackdawdale/model/Applied.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/Applied.kt
@@ -1,5 +1,6 @@
 package dev.jackdawdale.model
 
+import dev.jackdawdale.staged.apply
 import kotlinx.collections.immutable.minus
 import kotlinx.collections.immutable.plus
 
@@ -45,6 +46,7 @@
     is Event.WorkerPhaseChanged -> applyWorkerPhaseChanged(event)
     is Event.EntryHostJoined -> copy(entryHosts = entryHosts.put(event.host.hostId, event.host))
     is Event.EntryHostLeft -> applyEntryHostLeft(event)
+    is Event.Staged -> copy(staged = staged.apply(event.event, atMs))
     is Event.DedupWindowMoved -> applyDedupWindowMoved(event)
 }
 
--- a/src/main/kotlin/dev/jackdawdale/model/CellCodec.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/CellCodec.kt
@@ -1,5 +1,8 @@
 package dev.jackdawdale.model
 
+import dev.jackdawdale.staged.StagedSnapshot
+import dev.jackdawdale.staged.toSnapshot
+import dev.jackdawdale.staged.toState
 import kotlinx.collections.immutable.toPersistentHashMap
 import kotlinx.collections.immutable.toPersistentHashSet
 import kotlinx.collections.immutable.toPersistentMap
@@ -58,6 +61,7 @@
     val workers: List<WorkerSnapshot>,
     val endpoints: List<EndpointSnapshot>,
     val entryHosts: List<EntryHost>,
+    val staged: StagedSnapshot = StagedSnapshot(),
     val nextToken: FencingToken,
     val nextRecordNumber: Long,
     val lastBatchMs: Long
@@ -94,6 +98,7 @@
         EndpointSnapshot(it.info, it.phase, it.inFlight.toList(), it.abandoned)
     },
     entryHosts = entryHosts.values.toList(),
+    staged = staged.toSnapshot(),
     nextToken = nextToken,
     nextRecordNumber = nextRecordNumber,
     lastBatchMs = lastBatchMs
@@ -117,6 +122,7 @@
         it.info.endpointId to Endpoint(it.info, it.phase, inFlight, abandoned)
     }.toPersistentHashMap(),
     entryHosts = entryHosts.associateBy { it.hostId }.toPersistentHashMap(),
+    staged = staged.toState(),
     nextToken = nextToken,
     nextRecordNumber = nextRecordNumber,
     lastBatchMs = lastBatchMs
--- a/src/main/kotlin/dev/jackdawdale/model/CellState.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/CellState.kt
@@ -1,5 +1,6 @@
 package dev.jackdawdale.model
 
+import dev.jackdawdale.staged.StagedState
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentHashMapOf
 import kotlinx.collections.immutable.persistentMapOf
@@ -13,6 +14,7 @@
  * @property tasks tasks of [jobs]
  * @property ended work that ended within the dedup window, oldest first
  * @property changes operators' changes within the dedup window, oldest first
+ * @property staged jobs of several steps, their workers and queues
  * @property nextToken the next fencing token
  * @property nextRecordNumber number of the next record of ended work, from 0
  * @property lastBatchMs leader's time of the last batch; a new leader's time starts no earlier
@@ -28,6 +30,7 @@
     val workers: PersistentMap<WorkerId, Worker> = persistentHashMapOf(),
     val endpoints: PersistentMap<EndpointId, Endpoint> = persistentHashMapOf(),
     val entryHosts: PersistentMap<HostId, EntryHost> = persistentHashMapOf(),
+    val staged: StagedState = StagedState(),
     val nextToken: FencingToken = FencingToken(1),
     val nextRecordNumber: Long = 0,
     val lastBatchMs: Long = 0
--- a/src/main/kotlin/dev/jackdawdale/model/Event.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/Event.kt
@@ -1,5 +1,6 @@
 package dev.jackdawdale.model
 
+import dev.jackdawdale.staged.StagedEvent
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -175,6 +176,10 @@
     @SerialName("entryHostLeft")
     data class EntryHostLeft(val hostId: HostId, val incarnation: Long) : Event
 
+    @Serializable
+    @SerialName("staged")
+    data class Staged(val event: StagedEvent) : Event
+
     /** Ended work and applied changes older than the dedup window are forgotten. */
     @Serializable
     @SerialName("dedupWindowMoved")
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/outgoing/HttpCaller.kt
@@ -0,0 +1,245 @@
+package dev.jackdawdale.outgoing
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.concurrent.ScheduledFuture
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+
+/** One HTTP call to another process; [timeoutMs] counts from the call to the whole answer. */
+internal class OutgoingCall(
+    val method: String,
+    val path: String,
+    val body: ByteArray,
+    val timeoutMs: Long,
+    val headers: Map<String, String> = emptyMap()
+)
+
+/** What came of an [OutgoingCall]. */
+internal sealed interface CallOutcome {
+    class Answered(val status: Int, val body: ByteArray) : CallOutcome
+
+    /** No byte left this process. */
+    data class NotSent(val reason: String) : CallOutcome
+
+    /** The call may take effect, now or later. */
+    data class Unanswered(val reason: String) : CallOutcome
+}
+
+/**
+ * Limits of the calls.
+ *
+ * @property maxConnections connections to one address; further calls wait for one
+ * @property connectTimeoutMs longest wait for a new connection
+ * @property maxAnswerBytes longest answer
+ */
+internal data class CallerSettings(
+    val maxConnections: Int = 6,
+    val connectTimeoutMs: Int = 500,
+    val maxAnswerBytes: Int = 4 * 1024 * 1024
+)
+
+/**
+ * Makes HTTP/1.1 calls over kept connections, one call at a time on each. All state is touched on
+ * one event loop; results arrive there.
+ */
+internal class HttpCaller(
+    private val settings: CallerSettings,
+    group: EventLoopGroup
+) {
+    private val loop = group.next()
+    private val pools = HashMap<String, Pool>()
+    private val bootstrap = Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMs)
+
+    /** Calls the process at [address] (`ip:port`); [onResult] is called once. */
+    fun call(address: String, call: OutgoingCall, onResult: (CallOutcome) -> Unit) = loop.execute {
+        val pending = PendingCall(call, onResult)
+        val target = socketAddress(address)
+        if (target == null) {
+            pending.end(CallOutcome.NotSent("not an address: $address"))
+        } else {
+            pools.getOrPut(address) { Pool(address, target) }.take(pending)
+        }
+    }
+
+    /** Closes the connections to an address that is no longer used. */
+    fun forget(address: String) = loop.execute { pools.remove(address)?.close() }
+
+    private inner class PendingCall(
+        val call: OutgoingCall,
+        private val onResult: (CallOutcome) -> Unit
+    ) {
+        var channel: Channel? = null
+        var written = false
+        private var ended = false
+        private val timer: ScheduledFuture<*> = loop.schedule(
+            { fail("no answer within ${call.timeoutMs} ms") },
+            call.timeoutMs,
+            TimeUnit.MILLISECONDS
+        )
+
+        val isOpen: Boolean get() = !ended
+
+        /** A connection that failed a call is closed: its late answer belongs to no other call. */
+        fun fail(reason: String) {
+            channel?.close()
+            end(if (written) CallOutcome.Unanswered(reason) else CallOutcome.NotSent(reason))
+        }
+
+        fun end(outcome: CallOutcome) {
+            if (ended) return
+            ended = true
+            timer.cancel(false)
+            onResult(outcome)
+        }
+    }
+
+    private inner class Pool(private val address: String, private val target: InetSocketAddress) {
+        private val idle = ArrayDeque<Channel>()
+        private val waiting = ArrayDeque<PendingCall>()
+        private var connections = 0
+
+        fun take(call: PendingCall) {
+            val channel = takeIdle()
+            when {
+                channel != null -> write(channel, call)
+                connections < settings.maxConnections -> connect(call)
+                else -> waiting.addLast(call)
+            }
+        }
+
+        fun close() = idle.forEach { it.close() }
+
+        private fun takeIdle(): Channel? {
+            while (idle.isNotEmpty()) idle.removeLast().takeIf { it.isActive }?.let { return it }
+            return null
+        }
+
+        private fun connect(call: PendingCall) {
+            connections++
+            bootstrap.clone().handler(Initializer(this)).connect(target).addListener { future ->
+                val channel = (future as ChannelFuture).channel()
+                if (!future.isSuccess) {
+                    connections--
+                    call.fail("cannot connect: ${future.cause().message}")
+                    next()
+                } else {
+                    channel.closeFuture().addListener { closed(channel) }
+                    if (call.isOpen) write(channel, call) else release(channel)
+                }
+            }
+        }
+
+        private fun closed(channel: Channel) {
+            connections--
+            idle.remove(channel)
+            channel.pipeline()[AnswerHandler::class.java]?.closed()
+            next()
+        }
+
+        private fun next() {
+            while (waiting.isNotEmpty() && !waiting.first().isOpen) waiting.removeFirst()
+            waiting.removeFirstOrNull()?.let(::take)
+        }
+
+        private fun write(channel: Channel, call: PendingCall) {
+            call.channel = channel
+            call.written = true
+            channel.pipeline()[AnswerHandler::class.java].call = call
+            channel.writeAndFlush(call.call.toRequest(address)).addListener {
+                if (!it.isSuccess) call.fail("write failed: ${it.cause().message}")
+            }
+        }
+
+        fun release(channel: Channel) {
+            if (channel.isActive) idle.addLast(channel)
+            next()
+        }
+    }
+
+    private inner class Initializer(private val pool: Pool) :
+        ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            channel.pipeline()
+                .addLast(HttpClientCodec())
+                .addLast(HttpObjectAggregator(settings.maxAnswerBytes))
+                .addLast(AnswerHandler(pool))
+        }
+    }
+
+    private inner class AnswerHandler(private val pool: Pool) :
+        SimpleChannelInboundHandler<FullHttpResponse>() {
+        var call: PendingCall? = null
+
+        override fun channelRead0(ctx: ChannelHandlerContext, message: FullHttpResponse) {
+            val answered = call
+            call = null
+            if (answered == null || message.decoderResult().isFailure) {
+                answered?.fail("malformed answer")
+                ctx.close()
+                return
+            }
+            val keepAlive = HttpUtil.isKeepAlive(message)
+            val body = ByteBufUtil.getBytes(message.content())
+            answered.channel = null
+            if (keepAlive) pool.release(ctx.channel()) else ctx.close()
+            answered.end(CallOutcome.Answered(message.status().code(), body))
+        }
+
+        @Deprecated("Netty's name for a broken connection")
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+            call?.fail("the connection broke: ${cause.message}")
+            ctx.close()
+        }
+
+        fun closed() {
+            call?.fail("the connection was closed before the answer")
+            call = null
+        }
+    }
+}
+
+private fun OutgoingCall.toRequest(address: String): DefaultFullHttpRequest {
+    val request = DefaultFullHttpRequest(
+        HttpVersion.HTTP_1_1,
+        HttpMethod.valueOf(method),
+        path,
+        Unpooled.wrappedBuffer(body)
+    )
+    request.headers()
+        .set(HttpHeaderNames.HOST, address)
+        .set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        .set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+    headers.forEach { (name, value) -> request.headers()[name] = value }
+    return request
+}
+
+/** The address without a name look-up, which would block the event loop. */
+private fun socketAddress(address: String): InetSocketAddress? {
+    val host = address.substringBeforeLast(':', "")
+    val port = address.substringAfterLast(':').toIntOrNull() ?: return null
+    val bytes = io.netty.util.NetUtil.createByteArrayFromIpAddressString(host) ?: return null
+    return InetSocketAddress(java.net.InetAddress.getByAddress(bytes), port)
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/platform/OperatorRoutes.kt
@@ -0,0 +1,99 @@
+package dev.jackdawdale.platform
+
+import dev.jackdawdale.control.Pass
+import dev.jackdawdale.entry.Access
+import dev.jackdawdale.entry.HttpCall
+import dev.jackdawdale.entry.HttpResult
+import dev.jackdawdale.entry.JSON_TYPE
+import dev.jackdawdale.entry.Route
+import dev.jackdawdale.host.ControlRole
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.push.StagedControl
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("dev.jackdawdale.platform")
+
+/** Callers move to another host after a second without an answer. */
+private const val ANSWER_TIMEOUT_MS = 900L
+private const val OK = 200
+private const val REDIRECT = 307
+private const val BAD_REQUEST = 400
+private const val UNAVAILABLE = 503
+private val emptyObject = "{}".encodeToByteArray()
+
+/**
+ * Translates the calls of operators and workers. A host that does not lead names the leader.
+ *
+ * @param port the operators' port, the same on all hosts
+ */
+internal class OperatorRoutes(private val control: ControlRole, private val port: Int) {
+    val routes = listOf(
+        Route("PUT", "/config", Access.ANYONE, ::putConfiguration),
+        Route("GET", "/config", Access.ANYONE, ::getConfiguration),
+        Route("PUT", "/instances/{id}", Access.ANYONE, ::workerReport),
+        Route("DELETE", "/instances/{id}", Access.ANYONE, ::workerGoodbye)
+    )
+
+    private suspend fun putConfiguration(call: HttpCall): HttpResult {
+        val configuration = try {
+            decodeConfiguration(call.body)
+        } catch (e: MalformedBody) {
+            log.info("refuses a configuration: {}", e.problem)
+            return text(BAD_REQUEST, e.problem)
+        }
+        return atLeader("/config") { staged, pass, reply ->
+            staged.configure(pass, configuration) { reply(done()) }
+        }
+    }
+
+    private suspend fun getConfiguration(call: HttpCall): HttpResult =
+        atLeader(call.rawPath) { _, pass, reply ->
+            pass.whenDurable {
+                val document = control.committed.staged.configuration?.document
+                reply(
+                    document?.let { HttpResult(OK, JSON_TYPE, it.encodeToByteArray()) }
+                        ?: text(UNAVAILABLE, "no configuration yet")
+                )
+            }
+        }
+
+    private suspend fun workerReport(call: HttpCall): HttpResult {
+        val report = try {
+            decodeWorkerReport(call.path.getValue("id"), call.body)
+        } catch (e: MalformedBody) {
+            log.warn("ignores a report of {}: {}", call.path["id"], e.problem)
+            return text(BAD_REQUEST, e.problem)
+        }
+        return atLeader(call.rawPath) { staged, pass, reply ->
+            staged.workerReported(pass, report) { reply(done()) }
+        }
+    }
+
+    private suspend fun workerGoodbye(call: HttpCall): HttpResult =
+        atLeader(call.rawPath) { staged, pass, reply ->
+            staged.workerLeaves(pass, call.path.getValue("id")) { reply(done()) }
+        }
+
+    private suspend fun atLeader(
+        path: String,
+        action: (StagedControl, Pass, (HttpResult) -> Unit) -> Unit
+    ): HttpResult {
+        val answer = CompletableDeferred<HttpResult>()
+        control.submitStaged(
+            { staged, pass -> action(staged, pass, answer::complete) },
+            { leader -> answer.complete(redirect(leader, path)) }
+        )
+        return withTimeoutOrNull(ANSWER_TIMEOUT_MS) { answer.await() }
+            ?: text(UNAVAILABLE, "the outcome is not known yet; ask again")
+    }
+
+    private fun redirect(leader: HostId?, path: String): HttpResult {
+        if (leader == null) return text(UNAVAILABLE, "no leader is known")
+        val location = mapOf("Location" to "http://${leader.value}:$port$path")
+        return HttpResult(REDIRECT, JSON_TYPE, emptyObject, location)
+    }
+
+    private fun done() = HttpResult(OK, JSON_TYPE, emptyObject)
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformClient.kt
@@ -0,0 +1,180 @@
+package dev.jackdawdale.platform
+
+import dev.jackdawdale.outgoing.CallOutcome
+import dev.jackdawdale.outgoing.HttpCaller
+import dev.jackdawdale.outgoing.OutgoingCall
+import dev.jackdawdale.push.PushSettings
+import dev.jackdawdale.push.ReportQuestion
+import dev.jackdawdale.push.ReportResult
+import dev.jackdawdale.push.StartOrder
+import dev.jackdawdale.push.StartRefusal
+import dev.jackdawdale.push.StartResult
+import dev.jackdawdale.push.StopResult
+import dev.jackdawdale.push.WorkerCalls
+import dev.jackdawdale.staged.AdviceResult
+import dev.jackdawdale.staged.PushWorker
+import dev.jackdawdale.staged.StageTaskId
+import dev.jackdawdale.staged.StepId
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+
+private const val OK = 200
+private const val BAD_REQUEST = 400
+private const val CONFLICT = 409
+private const val OTHER_BOOT = 421
+private const val TOO_MANY = 429
+private const val UNAVAILABLE = 503
+
+/** Makes the calls to workers and to the adviser, and translates what they say. */
+internal class PlatformClient(private val http: HttpCaller, private val settings: PushSettings) {
+    /** The calls to workers. */
+    val workerCalls = WorkerCalls(::start, ::stop, ::report)
+
+    private fun start(worker: PushWorker, order: StartOrder, onResult: (StartResult) -> Unit) {
+        val body = buildJsonObject {
+            put("task", order.taskId.wireName)
+            put("run", order.run)
+            put("spec", order.payload)
+            put("deadlineMs", order.validUntilMs)
+            put("fencingToken", order.term)
+            if (order.checkpoint.isNotEmpty()) put("lastCheckpoint", order.checkpoint)
+            if (order.ticket.isNotEmpty()) put("ticket", order.ticket)
+        }
+        call(worker, "/run-start", body, settings.startAnswerMs) { onResult(startResult(it)) }
+    }
+
+    private fun startResult(outcome: CallOutcome): StartResult = when (outcome) {
+        is CallOutcome.NotSent -> StartResult.NotSent
+        is CallOutcome.Unanswered -> StartResult.Unknown(outcome.reason)
+        is CallOutcome.Answered -> when (outcome.status) {
+            OK -> StartResult.Started
+            CONFLICT -> refusalOf(outcome.body)
+            BAD_REQUEST -> StartResult.Refused(StartRefusal.MALFORMED)
+            TOO_MANY, UNAVAILABLE -> StartResult.Refused(StartRefusal.UNHEALTHY)
+            OTHER_BOOT -> StartResult.OtherBoot
+            else -> StartResult.Unknown("status ${outcome.status}")
+        }
+    }
+
+    private fun refusalOf(body: ByteArray): StartResult = try {
+        val reason = wireObject(body).text("reason")
+        refusalReasons[reason]?.let { StartResult.Refused(it) }
+            ?: StartResult.Unknown("refused for the unknown reason $reason")
+    } catch (e: MalformedBody) {
+        StartResult.Unknown("refused with an unreadable body: ${e.problem}")
+    }
+
+    private fun stop(
+        worker: PushWorker,
+        taskId: StageTaskId,
+        run: Int,
+        term: Long,
+        onResult: (StopResult) -> Unit
+    ) {
+        val body = buildJsonObject {
+            put("task", taskId.wireName)
+            put("run", run)
+            put("fencingToken", term)
+        }
+        call(worker, "/run-stop", body, settings.startAnswerMs) { outcome ->
+            val status = (outcome as? CallOutcome.Answered)?.status
+            onResult(
+                when (status) {
+                    OK -> StopResult.ACCEPTED
+                    OTHER_BOOT -> StopResult.OTHER_BOOT
+                    else -> StopResult.UNKNOWN
+                }
+            )
+        }
+    }
+
+    private fun report(
+        worker: PushWorker,
+        question: ReportQuestion,
+        onResult: (ReportResult) -> Unit
+    ) {
+        val body = buildJsonObject {
+            put("fencingToken", question.term)
+            put("ackCursor", question.acknowledgedEnd)
+            question.leaseUntilMs?.let { put("deadlineMs", it) }
+            if (question.waitMs > 0) put("waitMs", question.waitMs)
+        }
+        val timeoutMs = question.waitMs + REPORT_ANSWER_MS
+        call(worker, "/hold", body, timeoutMs) { onResult(reportResult(it)) }
+    }
+
+    private fun reportResult(outcome: CallOutcome): ReportResult = when (outcome) {
+        is CallOutcome.NotSent -> ReportResult.Failed(outcome.reason)
+        is CallOutcome.Unanswered -> ReportResult.Failed(outcome.reason)
+        is CallOutcome.Answered -> when (outcome.status) {
+            OK -> try {
+                ReportResult.Reported(decodeRunReport(outcome.body))
+            } catch (e: MalformedBody) {
+                ReportResult.Failed("unreadable lists: ${e.problem}")
+            }
+            OTHER_BOOT -> ReportResult.OtherBoot
+            else -> ReportResult.Failed(
+                "status ${outcome.status}: ${outcome.body.decodeToString().take(MAX_LOGGED)}"
+            )
+        }
+    }
+
+    private fun call(
+        worker: PushWorker,
+        path: String,
+        body: JsonObject,
+        timeoutMs: Long,
+        onResult: (CallOutcome) -> Unit
+    ) {
+        val headers = mapOf("Expect-Instance" to worker.workerId)
+        val call = OutgoingCall("POST", path, body.toString().encodeToByteArray(), timeoutMs, headers)
+        http.call(worker.address, call, onResult)
+    }
+
+    /** Asks the adviser at [address] which of [workers] may run the step. */
+    fun askAdvice(
+        address: String,
+        stepId: StepId,
+        workers: List<String>,
+        onResult: (AdviceResult) -> Unit
+    ) {
+        val body = buildJsonObject {
+            put("step", stepId.wireName)
+            putJsonArray("workers") { workers.forEach { add(it) } }
+        }
+        val bytes = body.toString().encodeToByteArray()
+        http.call(address, OutgoingCall("POST", "/advise", bytes, ADVICE_TIMEOUT_MS)) {
+            onResult(adviceResult(it))
+        }
+    }
+
+    private fun adviceResult(outcome: CallOutcome): AdviceResult = when (outcome) {
+        is CallOutcome.NotSent -> AdviceResult.Failed(outcome.reason)
+        is CallOutcome.Unanswered -> AdviceResult.Failed(outcome.reason)
+        is CallOutcome.Answered -> when (outcome.status) {
+            OK -> tickets(outcome.body)
+            TOO_MANY -> AdviceResult.Busy
+            else -> AdviceResult.Failed("status ${outcome.status}")
+        }
+    }
+
+    private fun tickets(body: ByteArray): AdviceResult = try {
+        val rows = wireObject(body).array("good").map { it as JsonArray }
+        AdviceResult.Given(rows.associate { it[0].asText("good") to it[1].asText("good") })
+    } catch (e: MalformedBody) {
+        AdviceResult.Failed("unreadable advice: ${e.problem}")
+    } catch (e: ClassCastException) {
+        AdviceResult.Failed("unreadable advice: ${e.message}")
+    }
+
+    private companion object {
+        /** Time for the answer on top of the wait that the question allows. */
+        const val REPORT_ANSWER_MS = 700L
+        const val ADVICE_TIMEOUT_MS = 10_000L
+        const val MAX_LOGGED = 200
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -0,0 +1,204 @@
+package dev.jackdawdale.platform
+
+import dev.jackdawdale.control.ControlObserver
+import dev.jackdawdale.entry.Access
+import dev.jackdawdale.entry.AuthMode
+import dev.jackdawdale.entry.HttpServer
+import dev.jackdawdale.entry.HttpSettings
+import dev.jackdawdale.entry.Route
+import dev.jackdawdale.entry.httpServer
+import dev.jackdawdale.host.ControlRole
+import dev.jackdawdale.host.forPeers
+import dev.jackdawdale.host.forReplica
+import dev.jackdawdale.host.steadyClock
+import dev.jackdawdale.model.FailureDomain
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.outgoing.CallerSettings
+import dev.jackdawdale.outgoing.HttpCaller
+import dev.jackdawdale.push.PushSettings
+import dev.jackdawdale.raft.RaftSettings
+import dev.jackdawdale.replica.ReplicaSettings
+import dev.jackdawdale.settings.HostAddress
+import dev.jackdawdale.settings.HostSettings
+import dev.jackdawdale.settings.Role
+import dev.jackdawdale.settings.Settings
+import dev.jackdawdale.settings.defaultSettings
+import dev.jackdawdale.storage.StorageError
+import dev.jackdawdale.telemetry.Logging
+import dev.jackdawdale.telemetry.configureLogging
+import dev.jackdawdale.wire.ControlClient
+import dev.jackdawdale.wire.ControlClientCallbacks
+import dev.jackdawdale.wire.ControlMessage
+import dev.jackdawdale.wire.EntryMessage
+import dev.jackdawdale.wire.FrameClock
+import dev.jackdawdale.wire.PeerAddress
+import dev.jackdawdale.wire.PeerSettings
+import dev.jackdawdale.wire.controlClient
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.runBlocking
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("dev.jackdawdale.platform")
+
+/** All processes of an installation are on one closed network. */
+private const val CELL_ID = "platform"
+private const val STORAGE_EXIT_CODE = 74
+private const val SNAPSHOT_EVERY_BYTES = 8L * 1024 * 1024
+private const val RETAINED_BYTES = 2L * 1024 * 1024
+private const val SESSION_SILENCE_MS = 1_500L
+private const val RECONNECT_MAX_MS = 300L
+
+/** The balancer takes a host out after two refusals, a second apart. */
+private const val BALANCER_NOTICE_MS = 2_200L
+
+/** Part of the grace period that is left for the end of the process. */
+private const val EXIT_MARGIN_MS = 1_000L
+private const val READY_OK = 200
+private const val NOT_READY = 503
+
+/** One process on the platform: callers' traffic, control, or both. */
+internal class PlatformHost(private val settings: PlatformSettings) {
+    private val clock = steadyClock()
+    private val incarnation = System.currentTimeMillis()
+    private val pushSettings = PushSettings()
+
+    init {
+        configureLogging(Logging(true, Level.INFO, settings.hostName, incarnation))
+    }
+
+    private val hostSettings = settings.toHostSettings()
+    private val outgoing = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val client =
+        PlatformClient(HttpCaller(CallerSettings(), outgoing), pushSettings)
+
+    private val control: ControlRole? = settings.operators?.let {
+        ControlRole(
+            hostSettings,
+            peerSettings(),
+            ControlObserver(roleChanged = ::roleChanged),
+            clock,
+            ::storageFailed,
+            replicaSettings(),
+            client.workerCalls
+        )
+    }
+    private val session: ControlClient? = settings.callers?.let {
+        controlClient(
+            peerSettings(),
+            ControlClientCallbacks(
+                held = { emptyList() },
+                onOpened = { term -> log.info("session with the leader of term {} is open", term) },
+                onLost = { log.warn("the session with the leader is lost") },
+                onMessage = ::received
+            )
+        )
+    }
+
+    @Volatile
+    private var stopping = false
+
+    private val servers: List<HttpServer> = listOfNotNull(
+        settings.operators?.let { address ->
+            val routes = OperatorRoutes(checkNotNull(control), address.port).routes
+            httpServer(address.toHttp(), routes)
+        },
+        settings.callers?.let { address ->
+            val routes = CallerRoutes(checkNotNull(session))
+            httpServer(address.toHttp(), emptyList(), fallback = routes.route)
+        }
+    )
+    private val readiness: HttpServer? = settings.readiness?.let { address ->
+        val route = Route("GET", "/readiness", Access.ANYONE) {
+            if (isReady) text(READY_OK, "ready") else text(NOT_READY, "not ready")
+        }
+        httpServer(address.toHttp(), listOf(route))
+    }
+
+    private val isReady: Boolean get() = !stopping && session?.isOpen ?: true
+
+    fun start() {
+        control?.start()
+        session?.start()
+        servers.forEach { it.start() }
+        readiness?.start()
+        log.info("host {} at {} has started", settings.hostName, settings.hostIp)
+    }
+
+    /** Leaves the balancer, ends calls in flight and hands leadership over. */
+    fun stop() {
+        stopping = true
+        log.info("host {} stops", settings.hostName)
+        control?.handOver()
+        if (settings.readiness != null) Thread.sleep(BALANCER_NOTICE_MS)
+        val leftMs = settings.gracePeriodMs - BALANCER_NOTICE_MS - EXIT_MARGIN_MS
+        runBlocking { servers.forEach { it.drain(leftMs) } }
+        control?.close()
+        log.info("host {} has stopped", settings.hostName)
+    }
+
+    private fun received(message: ControlMessage) {
+        if (message !is ControlMessage.AskAdvice) return
+        val address = settings.adviser
+        if (address == null) {
+            log.warn("asked for advice, but no adviser is known")
+            return
+        }
+        client.askAdvice(address, message.stepId, message.workers) { result ->
+            session?.send(EntryMessage.AdviceAnswered(message.callId, result))
+        }
+    }
+
+    private fun roleChanged(leading: Boolean, term: Long) =
+        log.info("{} in term {}", if (leading) "leads" else "follows", term)
+
+    private fun storageFailed(error: StorageError) {
+        log.error("storage failed, the process stops: {}", error)
+        Runtime.getRuntime().halt(STORAGE_EXIT_CODE)
+    }
+
+    private fun peerSettings(): PeerSettings {
+        val seeds = settings.seeds.map { HostAddress(HostId(it.ip), it.ip, settings.peerPort) }
+        return hostSettings.forPeers(
+            seeds,
+            incarnation,
+            CELL_ID.encodeToByteArray(),
+            FrameClock()
+        ).copy(
+            resolve = { PeerAddress(it.value, settings.peerPort) },
+            sessionSilenceMs = SESSION_SILENCE_MS,
+            reconnectMaxMs = RECONNECT_MAX_MS
+        )
+    }
+
+    private fun replicaSettings(): ReplicaSettings = hostSettings.forReplica().copy(
+        raft = RaftSettings(),
+        snapshotEveryBytes = SNAPSHOT_EVERY_BYTES,
+        retainedBytes = RETAINED_BYTES,
+        mayFormCell = settings.firstStart,
+        admitsUnlisted = true,
+        seed = incarnation xor settings.hostIp.hashCode().toLong()
+    )
+}
+
+private fun Address.toHttp() = HttpSettings(
+    address = ip,
+    port = port,
+    threads = 1,
+    authMode = AuthMode.PRIVATE_NETWORK
+)
+
+private fun PlatformSettings.toHostSettings(): Settings {
+    val defaults = defaultSettings()
+    val roles = buildSet {
+        if (operators != null) add(Role.CONTROL)
+        if (callers != null) add(Role.ENTRY)
+    }
+    val replicas = seeds.map { HostAddress(HostId(it.ip), it.ip, peerPort) }
+    return defaults.copy(
+        host = HostSettings(HostId(hostIp), FailureDomain(failureDomain), roles),
+        peer = defaults.peer.copy(address = hostIp, port = peerPort, clusterId = CELL_ID),
+        control = defaults.control.copy(dataFolder = dataFolder, replicas = replicas)
+    )
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformSettings.kt
@@ -0,0 +1,75 @@
+package dev.jackdawdale.platform
+
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlinx.serialization.json.JsonObject
+
+/** The environment variable that holds the path of the settings file. */
+internal const val SETTINGS_VARIABLE = "JACKDAWDALE_BOOT"
+
+/** An `ip:port` pair of the settings. */
+internal data class Address(val ip: String, val port: Int) {
+    override fun toString(): String = "$ip:$port"
+}
+
+/**
+ * What the platform tells a process.
+ *
+ * @property hostIp address of this machine; it names the host
+ * @property peerPort port on which the system's own processes talk, the same on all machines
+ * @property seeds addresses of control machines, their first port is the operators' one
+ * @property firstStart the whole system starts for the first time, with empty disks
+ * @property callers where callers connect, or null
+ * @property readiness where the balancer asks for readiness, or null
+ * @property operators where operators and workers connect, or null
+ * @property adviser where the adviser listens, or null
+ * @property lossesBorne machines with a disk that may be lost at the same time
+ */
+internal data class PlatformSettings(
+    val hostName: String,
+    val hostIp: String,
+    val failureDomain: String,
+    val peerPort: Int,
+    val seeds: List<Address>,
+    val firstStart: Boolean,
+    val dataFolder: Path?,
+    val callers: Address?,
+    val readiness: Address?,
+    val operators: Address?,
+    val adviser: String?,
+    val lossesBorne: Int,
+    val gracePeriodMs: Long
+)
+
+/** Reads the settings file. Throws [MalformedBody] when it lacks something. */
+internal fun readPlatformSettings(file: Path): PlatformSettings =
+    platformSettings(wireObject(Files.readAllBytes(file)))
+
+internal fun platformSettings(fields: JsonObject): PlatformSettings {
+    val listen = fields.objectOrNull("listen") ?: JsonObject(emptyMap())
+    return PlatformSettings(
+        hostName = fields.text("nodeName"),
+        hostIp = fields.text("ip"),
+        failureDomain = fields.text("zone"),
+        peerPort = fields.array("internalPortRange").first().asLong("internalPortRange").toInt(),
+        seeds = fields.array("seeds").map { address(it.asText("seeds")) },
+        firstStart = fields.flag("bootstrap"),
+        dataFolder = fields.textOrNull("dataDir")?.takeIf { it.isNotEmpty() }?.let(Path::of),
+        callers = listen.textOrNull("front")?.let(::address),
+        readiness = listen.textOrNull("ready")?.let(::address),
+        operators = listen.textOrNull("control")?.let(::address),
+        adviser = fields.textOrNull("advice"),
+        lossesBorne = fields.objectOrNull("faultTolerance")?.longOrNull("machines")?.toInt() ?: 0,
+        gracePeriodMs = fields.objectOrNull("bounds")?.doubleOrNull("graceS")
+            ?.let { (it * MS_PER_S).toLong() } ?: DEFAULT_GRACE_MS
+    )
+}
+
+private fun address(text: String): Address {
+    val port = text.substringAfterLast(':').toIntOrNull()
+        ?: throw MalformedBody("$text is not an address")
+    return Address(text.substringBeforeLast(':'), port)
+}
+
+private const val MS_PER_S = 1_000.0
+private const val DEFAULT_GRACE_MS = 6_000L
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireConfiguration.kt
@@ -0,0 +1,50 @@
+package dev.jackdawdale.platform
+
+import dev.jackdawdale.staged.AdviceTerms
+import dev.jackdawdale.staged.QueueConfiguration
+import dev.jackdawdale.staged.QueueSpec
+import kotlinx.serialization.json.JsonObject
+
+/**
+ * Decodes an operator's configuration and checks it as a whole.
+ *
+ * Throws [MalformedBody] when it cannot be read in full, when a route names an unknown service,
+ * when two routes share host and prefix, or when a timeout is 0.
+ */
+internal fun decodeConfiguration(bytes: ByteArray): QueueConfiguration {
+    val fields = wireObject(bytes)
+    val services = fields.array("services").map { it.asObject("services").text("name") }
+    val queues = fields.array("routes").map { queue(it.asObject("routes")) }
+    for (queue in queues) {
+        if (queue.service !in services) {
+            throw MalformedBody("route ${queue.name} names the unknown service ${queue.service}")
+        }
+        if (queue.timeoutMs <= 0) throw MalformedBody("route ${queue.name} has no timeout")
+    }
+    queues.groupBy { it.host to it.pathPrefix }.values.find { it.size > 1 }?.let {
+        throw MalformedBody("routes ${it[0].name} and ${it[1].name} share host and prefix")
+    }
+    if (queues.distinctBy { it.name }.size < queues.size) {
+        throw MalformedBody("two routes share a name")
+    }
+    return QueueConfiguration(fields.long("version"), bytes.decodeToString(), queues, services)
+}
+
+private fun queue(fields: JsonObject) = QueueSpec(
+    name = fields.text("name"),
+    host = fields.text("host"),
+    pathPrefix = fields.text("pathPrefix"),
+    service = fields.text("service"),
+    priority = fields.longOrNull("priority")?.toInt() ?: 0,
+    maxAttempts = fields.longOrNull("maxAttempts")?.toInt()?.coerceAtLeast(1) ?: 1,
+    stretch = fields.doubleOrNull("stretch") ?: 1.0,
+    targetLatencyMs = fields.doubleOrNull("targetLatencyMs")?.toLong() ?: 0,
+    timeoutMs = fields.doubleOrNull("timeoutMs")?.toLong() ?: 0,
+    advice = fields.objectOrNull("advice")?.let {
+        AdviceTerms(
+            decisionMs = it.doubleOrNull("decisionMs") ?: 0.0,
+            perWorkerMs = it.doubleOrNull("perWorkerMs") ?: 0.0,
+            validMs = it.doubleOrNull("validityMs")?.toLong() ?: 0
+        )
+    }
+)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireWorker.kt
@@ -0,0 +1,102 @@
+package dev.jackdawdale.platform
+
+import dev.jackdawdale.push.EndedRun
+import dev.jackdawdale.push.ListedEnd
+import dev.jackdawdale.push.ListedRun
+import dev.jackdawdale.push.RunReport
+import dev.jackdawdale.push.StartRefusal
+import dev.jackdawdale.push.WorkerReport
+import dev.jackdawdale.staged.PushWorker
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("dev.jackdawdale.platform")
+
+/**
+ * Decodes a worker's report of itself. Throws [MalformedBody] when a field is missing or has
+ * another type, or when the state is not known: such a report comes from another writer.
+ */
+internal fun decodeWorkerReport(workerId: String, bytes: ByteArray): WorkerReport {
+    val fields = wireObject(bytes)
+    val state = fields.text("state")
+    if (state != "ready" && state != "draining") throw MalformedBody("state $state is not known")
+    val capacity = fields.objectOrNull("capacity") ?: throw MalformedBody("capacity is missing")
+    val worker = PushWorker(
+        workerId = workerId,
+        // The start of the process tells two lives under the same id apart.
+        boot = fields.longOrNull("born") ?: 0,
+        address = fields.text("address"),
+        service = fields.text("service"),
+        failureDomain = fields.text("zone"),
+        cpuMillis = capacity.long("cpu"),
+        memoryMib = capacity.long("memMb"),
+        accelerators = capacity.longOrNull("gpu") ?: 0,
+        labels = fields.arrayOrNull("labels").orEmpty().map { it.asText("labels") },
+        draining = state == "draining"
+    )
+    return WorkerReport(worker, fields.long("sequence"))
+}
+
+/** Decodes a worker's lists. Throws [MalformedBody]; a row that cannot be read is left out. */
+internal fun decodeRunReport(bytes: ByteArray): RunReport {
+    val fields = wireObject(bytes)
+    return RunReport(
+        boot = fields.longOrNull("born"),
+        clockMs = fields.long("clockMs"),
+        running = fields.arrayOrNull("running").orEmpty().mapNotNull { row(it, ::runningRow) },
+        ended = fields.arrayOrNull("endedRuns").orEmpty().mapNotNull { row(it, ::endedRow) }
+    )
+}
+
+private fun <T> row(element: JsonElement, read: (JsonArray) -> T?): T? = try {
+    read(element as? JsonArray ?: throw MalformedBody("a row is not a list"))
+} catch (e: MalformedBody) {
+    log.warn("ignores an unreadable row of a worker's list: {}", e.problem)
+    null
+} catch (e: IndexOutOfBoundsException) {
+    log.warn("ignores a short row of a worker's list: {}", e.message)
+    null
+}
+
+private fun runningRow(row: JsonArray): ListedRun? {
+    val taskId = taskIdOrNull(row[0].asText("running")) ?: return null
+    return ListedRun(
+        taskId = taskId,
+        run = row[1].asLong("running").toInt(),
+        checkpoint = row[2].asText("running"),
+        percent = row[3].asLong("running").toInt()
+    )
+}
+
+private const val END_KIND = 3
+private const val END_CHECKPOINT = 4
+
+private fun endedRow(row: JsonArray): EndedRun {
+    val how = row[END_KIND].asText("endedRuns")
+    return EndedRun(
+        number = row[0].asLong("endedRuns"),
+        taskId = taskIdOrNull(row[1].asText("endedRuns")),
+        run = row[2].asLong("endedRuns").toInt(),
+        end = endKinds[how] ?: throw MalformedBody("end $how is not known"),
+        checkpoint = row.getOrNull(END_CHECKPOINT)?.asText("endedRuns").orEmpty()
+    )
+}
+
+private val endKinds = mapOf(
+    "done" to ListedEnd.DONE,
+    "failed" to ListedEnd.FAILED,
+    "stopped" to ListedEnd.STOPPED,
+    "lapsed" to ListedEnd.LAPSED,
+    "broken" to ListedEnd.BROKEN,
+    "alone" to ListedEnd.ALONE
+)
+
+/** What a worker means by the `reason` of a 409. */
+internal val refusalReasons = mapOf(
+    "fence" to StartRefusal.OLD_TERM,
+    "old" to StartRefusal.OLD_RUN,
+    "late" to StartRefusal.TOO_LATE,
+    "room" to StartRefusal.NO_ROOM,
+    "ticket" to StartRefusal.NO_TICKET
+)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
@@ -0,0 +1,141 @@
+package dev.jackdawdale.push
+
+import dev.jackdawdale.control.ControlExtension
+import dev.jackdawdale.control.Pass
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.staged.AdviceResult
+import dev.jackdawdale.staged.JobOutcome
+import dev.jackdawdale.staged.JobProgress
+import dev.jackdawdale.staged.QueueConfiguration
+import dev.jackdawdale.staged.QueueSpec
+import dev.jackdawdale.staged.StagedCommand
+import dev.jackdawdale.staged.StagedEvent
+import dev.jackdawdale.staged.StagedJob
+import dev.jackdawdale.staged.StagedJobSpec
+import dev.jackdawdale.staged.StagedQuery
+import dev.jackdawdale.staged.StagedReply
+import dev.jackdawdale.staged.StagedState
+import dev.jackdawdale.staged.isPending
+import dev.jackdawdale.staged.job
+import dev.jackdawdale.staged.jobIdIn
+import dev.jackdawdale.staged.queueFor
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("dev.jackdawdale.push")
+
+/** The part of the control thread that serves staged jobs. */
+internal class StagedControl(
+    private val settings: PushSettings,
+    private val around: LeaderSurroundings
+) {
+    private var leader: StagedLeader? = null
+
+    /** The functions that the control loop calls. */
+    val extension = ControlExtension(
+        becameLeader = ::becameLeader,
+        lostLeadership = { leader = null },
+        decide = { pass -> leader?.decide(pass) },
+        handle = ::handle,
+        answer = { state, query, _ -> answer(state.staged, query) },
+        adviceAnswered = ::adviceAnswered
+    )
+
+    private fun becameLeader(term: Long, state: CellState, nowMs: Long) {
+        leader = StagedLeader(term, state.staged, settings, around, nowMs)
+    }
+
+    private fun adviceAnswered(pass: Pass, hostId: HostId, callId: Long, result: AdviceResult) {
+        leader?.adviceAnswered(pass, hostId, callId, result)
+    }
+
+    /**
+     * Puts a configuration in force when its version is higher than the present one; another one
+     * changes nothing. [onDurable] runs once the answer is final.
+     */
+    fun configure(pass: Pass, configuration: QueueConfiguration, onDurable: () -> Unit) {
+        val present = pass.state.staged.configuration?.version
+        if (present == null || configuration.version > present) {
+            log.info("configuration {} replaces {}", configuration.version, present)
+            leader?.emit(pass, StagedEvent.Configured(configuration))
+        }
+        pass.whenDurable(onDurable)
+    }
+
+    fun workerReported(pass: Pass, report: WorkerReport, onDurable: () -> Unit) {
+        leader?.workerReported(pass, report, onDurable)
+    }
+
+    fun workerLeaves(pass: Pass, workerId: String, onDurable: () -> Unit) {
+        leader?.workerLeaves(pass, workerId, onDurable)
+    }
+
+    private fun handle(pass: Pass, command: StagedCommand, reply: (StagedReply) -> Unit) {
+        val leading = leader ?: return
+        val configuration = pass.state.staged.configuration
+        val queue = configuration?.queueFor(command.host, command.path)
+        val jobId = queue?.jobIdIn(command.path)
+        val answer = when {
+            configuration == null -> StagedReply.NotConfigured
+            queue == null -> StagedReply.NoSuchQueue
+            jobId == null -> StagedReply.Malformed("the path names no job")
+            command is StagedCommand.Submit -> submit(pass, leading, queue, jobId, command)
+            else -> cancel(pass, leading, jobId)
+        }
+        pass.whenDurable { reply(answer) }
+    }
+
+    private fun submit(
+        pass: Pass,
+        leading: StagedLeader,
+        queue: QueueSpec,
+        jobId: String,
+        command: StagedCommand.Submit
+    ): StagedReply {
+        val known = pass.state.staged.job(jobId)
+        if (known != null) return StagedReply.Job(jobId, known.progress)
+        val spec = StagedJobSpec(jobId, queue.name, command.payload, command.steps, command.schedule)
+        problemOf(spec)?.let { return StagedReply.Malformed(it) }
+        leading.emit(pass, StagedEvent.JobAccepted(spec, queue))
+        log.info("accepts job {} of queue {} with {} steps", jobId, queue.name, spec.steps.size)
+        return StagedReply.Job(jobId, JobProgress.QUEUED)
+    }
+
+    private fun cancel(pass: Pass, leading: StagedLeader, jobId: String): StagedReply {
+        val known = pass.state.staged.job(jobId)
+        if (known?.outcome == null) leading.emit(pass, StagedEvent.JobCancelled(jobId))
+        log.info("cancels job {}: {}", jobId, known?.progress ?: "not known")
+        val after = pass.state.staged.job(jobId) ?: return StagedReply.NoSuchJob
+        return StagedReply.Job(jobId, after.progress)
+    }
+
+    private fun answer(state: StagedState, query: StagedQuery): StagedReply {
+        val configuration = state.configuration ?: return StagedReply.NotConfigured
+        val queue = configuration.queueFor(query.host, query.path)
+            ?: return StagedReply.NoSuchQueue
+        val jobId = queue.jobIdIn(query.path)
+            ?: return StagedReply.Pending(state.pendingJobs(queue.name))
+        val job = state.job(jobId) ?: return StagedReply.NoSuchJob
+        return StagedReply.Job(jobId, job.progress)
+    }
+}
+
+private fun StagedState.pendingJobs(queue: String): Int =
+    active.values.count { it.isPending && it.spec.queue == queue }
+
+private val StagedJob.progress: JobProgress
+    get() = when (outcome) {
+        JobOutcome.COMPLETED -> JobProgress.COMPLETED
+        JobOutcome.FAILED -> JobProgress.FAILED
+        JobOutcome.CANCELLED -> JobProgress.CANCELLED
+        null -> if (startedAtMs == null) JobProgress.QUEUED else JobProgress.RUNNING
+    }
+
+/** Why the job cannot be run as it is described, or null. */
+internal fun problemOf(spec: StagedJobSpec): String? = when {
+    spec.steps.isEmpty() -> "the job has no steps"
+    spec.steps.any { it.taskCount <= 0 } -> "a step has no tasks"
+    spec.steps.withIndex().any { (number, step) -> step.after.any { it !in 0 until number } } ->
+        "a step waits for a step that is not before it"
+    else -> null
+}
--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -256,7 +256,8 @@
 
     private fun onHello(from: HostId, message: Hello) {
         callbacks.send(from, HelloReply(state.self, settings.hostId, state.isBlank))
-        val known = from in settings.hosts || state.membership.members.any { it.hostId == from }
+        val known = settings.admitsUnlisted ||
+            from in settings.hosts || state.membership.members.any { it.hostId == from }
         if (state.ready && known) run(RaftInput.Join(message.from, from))
     }
 
@@ -265,7 +266,8 @@
         val isMember = state.membership.member(state.self) != null
         val hearsLeader = nowMs - state.leaderHeardMs < settings.raft.electionTimeoutMs
         if (isMember || hearsLeader) return
-        val first = if (state.isBlank) joining.firstMembership(state.self, nowMs) else null
+        val mayForm = state.isBlank && settings.mayFormCell
+        val first = if (mayForm) joining.firstMembership(state.self, nowMs) else null
         if (first != null) {
             run(RaftInput.Bootstrap(first))
         } else if (nowMs >= helloDueMs) {
--- a/src/main/kotlin/dev/jackdawdale/replica/ReplicaSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/ReplicaSettings.kt
@@ -12,6 +12,8 @@
  * @property retainedEntries entries kept before a snapshot, so that a replica that missed few
  *   entries does not need the snapshot
  * @property retainedBytes the retained entries are cut to this size
+ * @property mayFormCell whether a blank replica may form the first membership
+ * @property admitsUnlisted whether hosts outside of [hosts] may join as replicas
  * @property seed of election timeouts; must differ between replicas
  */
 internal data class ReplicaSettings(
@@ -23,5 +25,7 @@
     val retainedEntries: Long = 5_000,
     val retainedBytes: Long = 16L * 1024 * 1024,
     val helloEveryMs: Long = 200,
+    val mayFormCell: Boolean = true,
+    val admitsUnlisted: Boolean = false,
     val seed: Long = hostId.value.hashCode().toLong()
 )
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/staged/ApplyStaged.kt
@@ -0,0 +1,166 @@
+package dev.jackdawdale.staged
+
+import kotlinx.collections.immutable.minus
+
+/** Applies one event; an event about something that is gone changes nothing. */
+fun StagedState.apply(event: StagedEvent, atMs: Long): StagedState = when (event) {
+    is StagedEvent.JobAccepted -> accept(event, atMs)
+    is StagedEvent.OccurrenceBegun -> change(event.jobId, atMs) { it.begin(event.number) }
+    is StagedEvent.JobCancelled -> cancel(event.jobId, atMs)
+    is StagedEvent.TasksPlaced -> change(event.stepId.jobId, atMs) { it.place(event, atMs) }
+    is StagedEvent.RunEnded -> change(event.taskId.stepId.jobId, atMs) { it.endRun(event) }
+    is StagedEvent.WorkerReported ->
+        copy(workers = workers.put(event.worker.workerId, event.worker))
+    is StagedEvent.WorkerLeft -> leave(event)
+    is StagedEvent.Configured -> copy(configuration = event.configuration)
+    is StagedEvent.JobsForgotten -> forget(event.endedBeforeMs)
+}
+
+private fun StagedState.accept(event: StagedEvent.JobAccepted, atMs: Long): StagedState {
+    val jobId = event.spec.jobId
+    if (job(jobId) != null) return this
+    val accepted = StagedJob(event.spec, event.terms, atMs)
+    if (jobId in refusedIds) {
+        val cancelled = accepted.copy(outcome = JobOutcome.CANCELLED, endedAtMs = atMs)
+        return copy(ended = ended.put(jobId, cancelled.withoutPayload()))
+    }
+    val begun = if (event.spec.schedule == null) accepted.begin(0) else accepted
+    return copy(active = active.put(jobId, begun))
+}
+
+private fun StagedJob.begin(number: Int): StagedJob {
+    if (occurrences.any { it.number == number }) return this
+    val steps = spec.steps.map { step -> StageStep(List(step.taskCount) { StageTask() }) }
+    return copy(occurrences = occurrences + Occurrence(number, steps))
+}
+
+private fun StagedState.cancel(jobId: String, atMs: Long): StagedState {
+    if (job(jobId) == null) return copy(refusedIds = refusedIds.put(jobId, atMs))
+    return change(jobId, atMs) {
+        if (it.outcome != null) it else it.copy(outcome = JobOutcome.CANCELLED, endedAtMs = atMs)
+    }
+}
+
+private fun StagedState.leave(event: StagedEvent.WorkerLeft): StagedState {
+    if (workers[event.workerId]?.boot != event.boot) return this
+    return copy(workers = workers.remove(event.workerId))
+}
+
+private fun StagedState.forget(endedBeforeMs: Long): StagedState {
+    val old = ended.values.takeWhile { (it.endedAtMs ?: 0) < endedBeforeMs }
+    val refused = refusedIds.entries.takeWhile { it.value < endedBeforeMs }.map { it.key }
+    return copy(ended = ended - old.map { it.spec.jobId }, refusedIds = refusedIds - refused)
+}
+
+/** Changes a job, decides whether it has ended, and moves it to where it belongs. */
+private fun StagedState.change(
+    jobId: String,
+    atMs: Long,
+    change: (StagedJob) -> StagedJob
+): StagedState {
+    val before = active[jobId] ?: return this
+    val after = change(before).withOutcome(atMs)
+    val gone = after.outcome != null && after.held().isEmpty()
+    if (!gone) return copy(active = active.put(jobId, after))
+    return copy(active = active.remove(jobId), ended = ended.put(jobId, after.withoutPayload()))
+}
+
+/** The payload is large and only a start needs it. */
+private fun StagedJob.withoutPayload() = copy(
+    spec = spec.copy(payload = "", steps = emptyList()),
+    occurrences = emptyList()
+)
+
+private fun StagedJob.withOutcome(atMs: Long): StagedJob = when {
+    outcome != null -> this
+    hasFailed() -> copy(outcome = JobOutcome.FAILED, endedAtMs = atMs)
+    isDone() -> copy(outcome = JobOutcome.COMPLETED, endedAtMs = atMs)
+    else -> this
+}
+
+private fun StagedJob.isDone(): Boolean {
+    val wanted = spec.schedule?.count ?: 1
+    return occurrences.size >= wanted &&
+        occurrences.all { occurrence -> occurrence.steps.all { it.isComplete } }
+}
+
+private fun StagedJob.hasFailed(): Boolean = occurrences.any { occurrence ->
+    occurrence.steps.withIndex().any { (number, step) -> hasFailed(spec.steps[number], step) }
+}
+
+private fun StagedJob.hasFailed(spec: StepSpec, step: StageStep): Boolean = when {
+    spec.longRunning -> false
+    spec.gang -> step.gangFailures >= terms.maxAttempts && !step.isComplete
+    else -> step.tasks.any { !it.succeeded && it.failedRuns >= terms.maxAttempts }
+}
+
+private fun StagedJob.place(event: StagedEvent.TasksPlaced, atMs: Long): StagedJob {
+    val placed = event.placed.associateBy { it.index }
+    val changed = changeStep(event.stepId) { step ->
+        step.copy(
+            tasks = step.tasks.mapIndexed { index, task ->
+                val place = placed[index] ?: return@mapIndexed task
+                val placement = RunPlacement(
+                    place.workerId,
+                    place.workerBoot,
+                    event.run,
+                    event.term,
+                    atMs
+                )
+                task.copy(placement = placement, lastRun = maxOf(task.lastRun, event.run))
+            }
+        )
+    }
+    return changed.copy(startedAtMs = startedAtMs ?: atMs)
+}
+
+private fun StagedJob.endRun(event: StagedEvent.RunEnded): StagedJob {
+    val spec = spec.steps.getOrNull(event.taskId.stepId.step) ?: return this
+    return changeStep(event.taskId.stepId) { it.endRun(event, spec) }
+}
+
+private fun StageStep.endRun(event: StagedEvent.RunEnded, spec: StepSpec): StageStep {
+    val task = tasks.getOrNull(event.taskId.index) ?: return this
+    val placement = task.placement ?: return this
+    if (placement.run != event.run) return this
+    val failed = event.result == RunResult.FAILED
+    val succeeded = event.result == RunResult.SUCCEEDED && !spec.longRunning
+    val next = task.copy(
+        succeeded = task.succeeded || succeeded,
+        placement = null,
+        failedRuns = task.failedRuns + if (failed) 1 else 0,
+        failedOn = if (failed) task.failedOn + placement.workerId else task.failedOn,
+        checkpoint = event.checkpoint.ifEmpty { task.checkpoint }
+    )
+    val changed = copy(tasks = tasks.mapIndexed { i, t -> if (i == event.taskId.index) next else t })
+    return if (spec.gang) changed.endGangRun(event, failed, succeeded) else changed
+}
+
+/** One success stands for the whole gang, one checkpoint serves it, one failure counts once. */
+private fun StageStep.endGangRun(
+    event: StagedEvent.RunEnded,
+    failed: Boolean,
+    succeeded: Boolean
+): StageStep {
+    val first = failed && lastFailedRun != event.run
+    return copy(
+        tasks = tasks.map {
+            it.copy(
+                succeeded = it.succeeded || succeeded,
+                checkpoint = event.checkpoint.ifEmpty { it.checkpoint }
+            )
+        },
+        gangFailures = gangFailures + if (first) 1 else 0,
+        lastFailedRun = if (first) event.run else lastFailedRun
+    )
+}
+
+private fun StagedJob.changeStep(id: StepId, change: (StageStep) -> StageStep): StagedJob = copy(
+    occurrences = occurrences.map { occurrence ->
+        if (occurrence.number != id.occurrence) return@map occurrence
+        val steps = occurrence.steps.mapIndexed { number, step ->
+            if (number == id.step) change(step) else step
+        }
+        occurrence.copy(steps = steps)
+    }
+)
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/staged/StagedMessages.kt
@@ -0,0 +1,85 @@
+package dev.jackdawdale.staged
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A command about staged jobs; [host] and [path] select the queue. */
+@Serializable
+sealed interface StagedCommand {
+    val host: String
+    val path: String
+
+    @Serializable
+    @SerialName("submit")
+    data class Submit(
+        override val host: String,
+        override val path: String,
+        val payload: String,
+        val steps: List<StepSpec>,
+        val schedule: Schedule? = null
+    ) : StagedCommand
+
+    @Serializable
+    @SerialName("cancel")
+    data class Cancel(override val host: String, override val path: String) : StagedCommand
+}
+
+/** A question about the job or the queue at [path]. */
+@Serializable
+data class StagedQuery(val host: String, val path: String)
+
+/** What a caller learns of a staged job. */
+@Serializable
+enum class JobProgress { QUEUED, RUNNING, COMPLETED, FAILED, CANCELLED }
+
+/** The leader's reply about staged jobs. */
+@Serializable
+sealed interface StagedReply {
+    @Serializable
+    @SerialName("job")
+    data class Job(val jobId: String, val progress: JobProgress) : StagedReply
+
+    @Serializable
+    @SerialName("pending")
+    data class Pending(val jobs: Int) : StagedReply
+
+    @Serializable
+    @SerialName("noSuchJob")
+    data object NoSuchJob : StagedReply
+
+    @Serializable
+    @SerialName("noSuchQueue")
+    data object NoSuchQueue : StagedReply
+
+    /** No configuration has been accepted yet; nothing ran. */
+    @Serializable
+    @SerialName("notConfigured")
+    data object NotConfigured : StagedReply
+
+    /** The job was not accepted and never runs; it has a chance after [retryAfterMs]. */
+    @Serializable
+    @SerialName("overloaded")
+    data class Overloaded(val retryAfterMs: Long) : StagedReply
+
+    /** The job's description makes no sense; it never runs. */
+    @Serializable
+    @SerialName("malformed")
+    data class Malformed(val problem: String) : StagedReply
+}
+
+/** What the adviser answered. */
+@Serializable
+sealed interface AdviceResult {
+    /** The workers that may run the step, each with its ticket. */
+    @Serializable
+    @SerialName("given")
+    data class Given(val tickets: Map<String, String>) : AdviceResult
+
+    @Serializable
+    @SerialName("busy")
+    data object Busy : AdviceResult
+
+    @Serializable
+    @SerialName("failed")
+    data class Failed(val reason: String) : AdviceResult
+}
--- a/src/main/kotlin/dev/jackdawdale/wire/Command.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/Command.kt
@@ -15,6 +15,7 @@
 import dev.jackdawdale.model.WorkId
 import dev.jackdawdale.model.WorkerId
 import dev.jackdawdale.model.WorkerInfo
+import dev.jackdawdale.staged.StagedCommand
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -94,6 +95,11 @@
     @SerialName("operateWorker")
     data class OperateWorker(val workerId: WorkerId, val operation: Operation) : Command
 
+    /** Something about staged jobs, their queues or their workers. */
+    @Serializable
+    @SerialName("staged")
+    data class Staged(val command: StagedCommand) : Command
+
     /** The operator vouches that the worker is off and runs nothing. */
     @Serializable
     @SerialName("confirmWorkerLost")
--- a/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
@@ -45,7 +45,7 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val calls = PendingCalls()
-    private val search = LeaderSearch(settings.controlHosts.keys.toList())
+    private val search = LeaderSearch(settings.controlHosts.keys.toList()) { settings.addressOf(it) != null }
     private val seenTerm = AtomicLong()
     private val sessionsOpened = AtomicLong()
 
@@ -138,7 +138,7 @@
     }
 
     private suspend fun runSession(hostId: HostId): SessionEnd {
-        val address = settings.controlHosts.getValue(hostId)
+        val address = settings.addressOf(hostId) ?: return SessionEnd.Lost(wasOpen = false)
         val types = LinkTypes(
             ControlMessage.serializer(),
             EntryMessage.serializer(),
@@ -200,7 +200,10 @@
     private fun receive(from: EntrySession, message: ControlMessage) {
         from.heard()
         when (message) {
-            is ControlMessage.SessionAccepted -> opened(from, message.term)
+            is ControlMessage.SessionAccepted -> {
+                search.learn(message.controlHosts)
+                opened(from, message.term)
+            }
             is ControlMessage.NotLeader -> redirected(from, message.leader)
             is ControlMessage.ReplyTo -> replied(message)
             is ControlMessage.Configuration -> {
--- a/src/main/kotlin/dev/jackdawdale/wire/EntrySession.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/EntrySession.kt
@@ -39,7 +39,12 @@
 }
 
 /** Chooses which control host to try: the hinted one first, then each in turn. */
-internal class LeaderSearch(private val hosts: List<HostId>) {
+internal class LeaderSearch(
+    configured: List<HostId>,
+    private val isReachable: (HostId) -> Boolean = { false }
+) {
+    @Volatile
+    private var hosts = configured
     private var turn = 0
     private var hint: HostId? = null
     private var triedSincePause = 0
@@ -53,7 +58,12 @@
     }
 
     fun follow(leader: HostId?) {
-        if (leader in hosts) hint = leader
+        if (leader != null && (leader in hosts || isReachable(leader))) hint = leader
+    }
+
+    /** Adds the control hosts that a leader named; the configured ones stay. */
+    fun learn(members: List<HostId>) {
+        hosts = (hosts + members.filter(isReachable)).distinct()
     }
 
     /** True after each round of attempts, so that a search without a leader does not spin. */
--- a/src/main/kotlin/dev/jackdawdale/wire/PeerNetwork.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/PeerNetwork.kt
@@ -90,7 +90,12 @@
     }
 
     /** Queues [message] for [to]; false when there is no connection (the message is dropped). */
-    fun send(to: HostId, message: M): Boolean = outgoing[to]?.send(message) ?: false
+    fun send(to: HostId, message: M): Boolean {
+        val dialer = outgoing[to]
+        if (dialer != null) return dialer.send(message)
+        settings.resolve(to)?.let { connectTo(to, it) }
+        return false
+    }
 
     /** Whether there is a proved connection to [hostId]. */
     fun isConnected(hostId: HostId): Boolean = outgoing[hostId]?.isConnected ?: false
--- a/src/main/kotlin/dev/jackdawdale/wire/PeerSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/PeerSettings.kt
@@ -14,6 +14,7 @@
  * @property port port to listen on; 0 takes a free one
  * @property clusterKey shared secret that each side proves in the handshake
  * @property controlHosts control hosts by name, this one included when it has the role
+ * @property resolve finds a control host that [controlHosts] does not list, or null
  * @property maxQueuedMessages messages that may wait for one peer before the connection is closed
  * @property maxQueuedBytes estimated size of these messages
  * @property heartbeatMs interval of empty frames that show a live connection
@@ -32,6 +33,7 @@
     val address: String = "127.0.0.1",
     val port: Int = 0,
     val controlHosts: Map<HostId, PeerAddress> = emptyMap(),
+    val resolve: (HostId) -> PeerAddress? = { null },
     val maxFrameBytes: Int = 4 * 1024 * 1024,
     val maxQueuedMessages: Int = 16_384,
     val maxQueuedBytes: Long = 32L * 1024 * 1024,
@@ -45,3 +47,7 @@
     val maxUnprovedConnections: Int = 256,
     val clock: FrameClock = FrameClock()
 )
+
+/** Where the control host [hostId] listens, or null when nothing is known of it. */
+internal fun PeerSettings.addressOf(hostId: HostId): PeerAddress? =
+    controlHosts[hostId] ?: resolve(hostId)
--- a/src/main/kotlin/dev/jackdawdale/wire/Query.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/Query.kt
@@ -2,6 +2,7 @@
 
 import dev.jackdawdale.model.CustomerId
 import dev.jackdawdale.model.WorkId
+import dev.jackdawdale.staged.StagedQuery
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -25,6 +26,11 @@
     @SerialName("workers")
     data object Workers : Query
 
+    /** Something about staged jobs. */
+    @Serializable
+    @SerialName("staged")
+    data class Staged(val query: StagedQuery) : Query
+
     /** Waiting work with the reason for waiting. */
     @Serializable
     @SerialName("queue")
--- a/src/main/kotlin/dev/jackdawdale/wire/Reply.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/Reply.kt
@@ -14,6 +14,7 @@
 import dev.jackdawdale.model.WorkerInfo
 import dev.jackdawdale.model.WorkerOrder
 import dev.jackdawdale.model.WorkerPhase
+import dev.jackdawdale.staged.StagedReply
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -57,6 +58,10 @@
         val acknowledged: List<FencingToken>
     ) : Reply
 
+    @Serializable
+    @SerialName("staged")
+    data class Staged(val reply: StagedReply) : Reply
+
     @Serializable
     @SerialName("done")
     data object Done : Reply
--- a/src/main/kotlin/dev/jackdawdale/wire/SessionMessages.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/SessionMessages.kt
@@ -11,6 +11,8 @@
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.model.Outcome
 import dev.jackdawdale.model.WorkId
+import dev.jackdawdale.staged.AdviceResult
+import dev.jackdawdale.staged.StepId
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
@@ -59,6 +61,11 @@
         val result: AttemptResult,
         val runTimeMs: Long
     ) : EntryMessage
+
+    /** The answer to [ControlMessage.AskAdvice]. */
+    @Serializable
+    @SerialName("adviceAnswered")
+    data class AdviceAnswered(val callId: Long, val result: AdviceResult) : EntryMessage
 }
 
 /** Interval of session heartbeats in both directions, in milliseconds. */
@@ -70,10 +77,11 @@
 /** Messages from a control replica to an entry host. */
 @Serializable
 sealed interface ControlMessage {
-    /** The session stands; [term] is the leader's term. */
+    /** The session stands; [term] is the leader's term, [controlHosts] are all replicas. */
     @Serializable
     @SerialName("sessionAccepted")
-    data class SessionAccepted(val term: Long) : ControlMessage
+    data class SessionAccepted(val term: Long, val controlHosts: List<HostId> = emptyList()) :
+        ControlMessage
 
     /** This replica does not lead; [leader] is the host to try, when known. */
     @Serializable
@@ -111,6 +119,12 @@
         val maxIdleConnections: Int = 4
     ) : ControlMessage
 
+    /** Ask the adviser which of [workers] may run the step. */
+    @Serializable
+    @SerialName("askAdvice")
+    data class AskAdvice(val callId: Long, val stepId: StepId, val workers: List<String>) :
+        ControlMessage
+
     /** The result of the attempt is durable; the entry host may forget it. */
     @Serializable
     @SerialName("attemptAcknowledged")
