--- a/src/main/kotlin/dev/jackdawdale/cli/Main.kt
+++ b/src/main/kotlin/dev/jackdawdale/cli/Main.kt
@@ -2,6 +2,7 @@
 
 import dev.jackdawdale.host.runHost
 import kotlin.system.exitProcess
+import dev.jackdawdale.platform.DemoCommand
 import dev.jackdawdale.platform.PlatformCommand
 import picocli.CommandLine
 import picocli.CommandLine.Command
@@ -22,6 +23,7 @@
     CommandLine(RootCommand())
         .addSubcommand(ServeCommand(serve))
         .addSubcommand(PlatformCommand())
+        .addSubcommand(DemoCommand())
         .addSubcommand(CheckConfigCommand())
         .addSubcommand(CallCommand())
         .addSubcommand(SubmitCommand())
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformCommand.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformCommand.kt
@@ -5,7 +5,11 @@
 import java.io.IOException
 import java.nio.file.Path
 import java.util.concurrent.Callable
+import org.apache.logging.log4j.LogManager
 import picocli.CommandLine.Command
+import sun.misc.Signal
+
+private val log = LogManager.getLogger("dev.jackdawdale.platform")
 
 @Command(
     name = "platform",
@@ -27,10 +31,22 @@
             return refuse("$file cannot be read: ${e.message}")
         }
         val host = PlatformHost(settings)
+        // Without a handler the JVM ends on SIGHUP.
+        Signal.handle(Signal("HUP")) { reload(host, Path.of(file)) }
         runUntilStopped(host::stop, host::start)
         return ExitCode.OK
     }
 
+    private fun reload(host: PlatformHost, file: Path) {
+        try {
+            host.reload(readPlatformSettings(file))
+        } catch (e: MalformedBody) {
+            log.error("the changed settings are ignored: {}", e.problem)
+        } catch (e: IOException) {
+            log.error("the changed settings cannot be read: {}", e.message)
+        }
+    }
+
     private fun refuse(problem: String): Int {
         System.err.println(problem)
         return ExitCode.USAGE
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -138,6 +138,12 @@
         log.info("host {} has stopped", settings.hostName)
     }
 
+    /** The settings file changed. Addresses are fixed for the life of a process. */
+    fun reload(changed: PlatformSettings) {
+        log.info("the settings were read again; seeds are {}", changed.seeds)
+        session?.learnControlHosts(changed.seeds.map { HostId(it.ip) })
+    }
+
     private fun received(message: ControlMessage) {
         if (message !is ControlMessage.AskAdvice) return
         val address = settings.adviser
@@ -173,7 +179,7 @@
     }
 
     private fun replicaSettings(): ReplicaSettings = hostSettings.forReplica().copy(
-        raft = RaftSettings(),
+        raft = RaftSettings(targetMembers = 2 * settings.lossesBorne + 1),
         snapshotEveryBytes = SNAPSHOT_EVERY_BYTES,
         retainedBytes = RETAINED_BYTES,
         mayFormCell = settings.firstStart,
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/platform/StandInAdviser.kt
@@ -0,0 +1,50 @@
+package dev.jackdawdale.platform
+
+import dev.jackdawdale.entry.Access
+import dev.jackdawdale.entry.AuthMode
+import dev.jackdawdale.entry.HttpCall
+import dev.jackdawdale.entry.HttpResult
+import dev.jackdawdale.entry.HttpServer
+import dev.jackdawdale.entry.HttpSettings
+import dev.jackdawdale.entry.JSON_TYPE
+import dev.jackdawdale.entry.Route
+import dev.jackdawdale.entry.httpServer
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.addJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.putJsonArray
+
+private const val OK = 200
+
+/** An adviser of the platform for tests and demonstrations; [allows] is its policy. */
+internal class StandInAdviser(
+    private val allows: (step: String, workerId: String) -> Boolean = { _, _ -> true }
+) : AutoCloseable {
+    private val server: HttpServer = httpServer(
+        HttpSettings(threads = 1, authMode = AuthMode.PRIVATE_NETWORK),
+        listOf(Route("POST", "/advise", Access.ANYONE, ::advise))
+    )
+
+    val address: String get() = "127.0.0.1:${server.port}"
+
+    fun open() = server.start()
+
+    override fun close() = server.close()
+
+    private suspend fun advise(call: HttpCall): HttpResult {
+        val question = wireObject(call.body)
+        val step = question.text("step")
+        val workers = question.array("workers").map { it.asText("workers") }
+        val answer = buildJsonObject {
+            putJsonArray("good") {
+                workers.filter { allows(step, it) }.forEach {
+                    addJsonArray {
+                        add(it)
+                        add("$step-$it")
+                    }
+                }
+            }
+        }
+        return HttpResult(OK, JSON_TYPE, answer.toString().encodeToByteArray())
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/platform/StandInWorker.kt
@@ -0,0 +1,262 @@
+package dev.jackdawdale.platform
+
+import dev.jackdawdale.entry.Access
+import dev.jackdawdale.entry.AuthMode
+import dev.jackdawdale.entry.HttpCall
+import dev.jackdawdale.entry.HttpResult
+import dev.jackdawdale.entry.HttpServer
+import dev.jackdawdale.entry.HttpSettings
+import dev.jackdawdale.entry.JSON_TYPE
+import dev.jackdawdale.entry.Route
+import dev.jackdawdale.entry.httpServer
+import java.util.concurrent.Executors
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.addJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+
+private const val OK = 200
+private const val BAD_REQUEST = 400
+private const val CONFLICT = 409
+private const val OTHER_INSTANCE = 421
+private const val LEASE_TICK_MS = 20L
+
+/**
+ * What a stand-in worker does with a start order.
+ *
+ * @property answerLost the order gets no answer
+ * @property delayMs the order is carried out this much later
+ */
+internal data class OrderFault(val answerLost: Boolean = false, val delayMs: Long = 0)
+
+/** One event that a stand-in worker saw. */
+internal data class WorkerNote(val kind: String, val task: String, val run: Int)
+
+/**
+ * A worker of the platform for tests and demonstrations: fences, leases, lists of runs. Each task
+ * runs for [taskMs]; [fault] decides what happens to the nth start order, from 1.
+ */
+internal class StandInWorker(
+    val id: String,
+    private val taskMs: Long = 50,
+    private val clock: () -> Long = { System.nanoTime() / 1_000_000 },
+    private val fault: (order: Int) -> OrderFault = { OrderFault() }
+) : AutoCloseable {
+    private class Running(val task: String, val run: Int, val spec: String)
+
+    private class Ended(val number: Long, val task: String, val run: Int, val how: String)
+
+    private val timer: ScheduledExecutorService =
+        Executors.newSingleThreadScheduledExecutor { Thread(it, "worker-$id") }
+    private val running = LinkedHashMap<String, Running>()
+    private val ended = ArrayList<Ended>()
+    private val highestRun = HashMap<String, Int>()
+    private val seen = ArrayList<WorkerNote>()
+    private var highestTerm = 0L
+    private var leasedUntilMs = 0L
+    private var nextEnd = 1L
+    private var orders = 0
+    private var changed = CompletableDeferred<Unit>()
+    private var reports = 0L
+    private val born = System.currentTimeMillis()
+
+    private val server: HttpServer = httpServer(
+        HttpSettings(threads = 1, authMode = AuthMode.PRIVATE_NETWORK),
+        listOf(
+            Route("POST", "/run-start", Access.ANYONE) { guarded(it, ::start) },
+            Route("POST", "/run-stop", Access.ANYONE) { guarded(it, ::stop) },
+            Route("POST", "/hold", Access.ANYONE) { guarded(it, ::hold) }
+        )
+    )
+
+    val address: String get() = "127.0.0.1:${server.port}"
+
+    /** What happened so far, in order. */
+    val notes: List<WorkerNote> @Synchronized get() = seen.toList()
+
+    fun open() {
+        server.start()
+        timer.scheduleWithFixedDelay(
+            ::lapse,
+            LEASE_TICK_MS,
+            LEASE_TICK_MS,
+            TimeUnit.MILLISECONDS
+        )
+    }
+
+    override fun close() {
+        timer.shutdownNow()
+        server.close()
+    }
+
+    /** The body of the worker's next report of itself. */
+    @Synchronized
+    fun reportBody(service: String, draining: Boolean = false): String = buildJsonObject {
+        put("service", service)
+        put("address", address)
+        put("zone", "local")
+        put("version", "v1")
+        put("slots", 8)
+        put("state", if (draining) "draining" else "ready")
+        put("coldRemainingMs", 0)
+        putJsonObject("capacity") {
+            put("cpu", 16_000)
+            put("memMb", 32_768)
+            put("gpu", 0)
+        }
+        putJsonArray("labels") {
+            add("a")
+            add("r1-1")
+        }
+        put("clockMs", clock())
+        put("born", born)
+        put("sequence", ++reports)
+    }.toString()
+
+    private suspend fun guarded(
+        call: HttpCall,
+        handle: suspend (JsonObject) -> HttpResult
+    ): HttpResult {
+        val expected = call.headers["Expect-Instance"]
+        if (expected != null && expected != id) return result(OTHER_INSTANCE)
+        return try {
+            handle(wireObject(call.body))
+        } catch (e: MalformedBody) {
+            text(BAD_REQUEST, e.problem)
+        }
+    }
+
+    private suspend fun start(order: JsonObject): HttpResult {
+        val planned = synchronized(this) { fault(++orders) }
+        if (planned.answerLost) {
+            timer.schedule({ startNow(order) }, planned.delayMs, TimeUnit.MILLISECONDS)
+            delay(UNANSWERED_MS)
+        }
+        return startNow(order)?.let { result(CONFLICT) { put("reason", it) } } ?: result(OK)
+    }
+
+    /** The reason of a refusal, or null when the run is there. */
+    @Synchronized
+    private fun startNow(order: JsonObject): String? {
+        val task = order.text("task")
+        val run = order.long("run").toInt()
+        val term = order.longOrNull("fencingToken") ?: 0
+        if (term < highestTerm) return "fence"
+        highestTerm = term
+        val deadlineMs = order.long("deadlineMs")
+        if (deadlineMs < clock()) return "late"
+        leasedUntilMs = maxOf(leasedUntilMs, deadlineMs)
+        if (running[task]?.run == run) return null
+        if (run <= (highestRun[task] ?: 0)) return "old"
+        if (task in running) end(running.getValue(task), "broken")
+        val started = Running(task, run, order.textOrNull("spec").orEmpty())
+        running[task] = started
+        seen += WorkerNote("started", task, run)
+        timer.schedule({ finish(started) }, taskMs, TimeUnit.MILLISECONDS)
+        return null
+    }
+
+    @Synchronized
+    private fun finish(run: Running) {
+        if (running[run.task] === run) end(run, "done")
+    }
+
+    @Synchronized
+    private fun end(run: Running, how: String) {
+        running.remove(run.task)
+        highestRun[run.task] = maxOf(highestRun[run.task] ?: 0, run.run)
+        ended += Ended(nextEnd++, run.task, run.run, how)
+        seen += WorkerNote(how, run.task, run.run)
+        changed.complete(Unit)
+        changed = CompletableDeferred()
+    }
+
+    @Synchronized
+    private fun lapse() {
+        if (clock() > leasedUntilMs) running.values.toList().forEach { end(it, "lapsed") }
+    }
+
+    @Synchronized
+    private fun stopNow(order: JsonObject) {
+        val term = order.longOrNull("fencingToken") ?: 0
+        if (term < highestTerm) return
+        highestTerm = term
+        val task = order.text("task")
+        val run = order.long("run").toInt()
+        running[task]?.takeIf { it.run == run }?.let { end(it, "stopped") }
+        highestRun[task] = maxOf(highestRun[task] ?: 0, run)
+    }
+
+    private suspend fun stop(order: JsonObject): HttpResult {
+        stopNow(order)
+        return result(OK)
+    }
+
+    private suspend fun hold(question: JsonObject): HttpResult {
+        val news = acknowledge(question)
+        val waitMs = question.longOrNull("waitMs") ?: 0
+        if (news != null && waitMs > 0) withTimeoutOrNull(waitMs) { news.await() }
+        return lists()
+    }
+
+    /** What to wait for, or null when there is something to tell at once. */
+    @Synchronized
+    private fun acknowledge(question: JsonObject): CompletableDeferred<Unit>? {
+        val term = question.longOrNull("fencingToken") ?: 0
+        if (term >= highestTerm) {
+            highestTerm = term
+            question.longOrNull("deadlineMs")?.let { leasedUntilMs = maxOf(leasedUntilMs, it) }
+            val cursor = question.longOrNull("ackCursor") ?: 0
+            ended.removeAll { it.number <= cursor }
+        }
+        return changed.takeIf { ended.isEmpty() }
+    }
+
+    @Synchronized
+    private fun lists(): HttpResult = result(OK) {
+        put("born", born)
+        putJsonArray("running") {
+            running.values.forEach {
+                addJsonArray {
+                    add(it.task)
+                    add(it.run)
+                    add("")
+                    add(0)
+                }
+            }
+        }
+        putJsonArray("endedRuns") {
+            ended.forEach {
+                addJsonArray {
+                    add(it.number)
+                    add(it.task)
+                    add(it.run)
+                    add(it.how)
+                    add("")
+                }
+            }
+        }
+    }
+
+    private fun result(status: Int, build: JsonObjectBuilder.() -> Unit = {}): HttpResult {
+        val body = buildJsonObject {
+            put("clockMs", clock())
+            build()
+        }
+        return HttpResult(status, JSON_TYPE, body.toString().encodeToByteArray())
+    }
+
+    private companion object {
+        /** Longer than any caller waits for the answer to an order. */
+        const val UNANSWERED_MS = 30_000L
+    }
+}
--- a/src/main/kotlin/dev/jackdawdale/raft/MembershipChange.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/MembershipChange.kt
@@ -51,6 +51,20 @@
     changeMembers(MemberChange.Remove(old.replicaId))
 }
 
+/** Removes the member that has been silent for longest once another one stands in for it. */
+internal fun StepScope.removeSurplus() {
+    val target = state.settings.targetMembers ?: return
+    val members = state.membership.members
+    if (!state.ready || members.size <= target) return
+    if (state.log.membershipIndex > state.commitIndex) return
+    val silent = members
+        .filter { it.replicaId != state.self }
+        .mapNotNull { member -> state.peers[member.replicaId]?.let { member to it.lastHeardMs } }
+        .filter { (_, heardMs) -> nowMs - heardMs > state.settings.replaceAfterMs }
+        .minByOrNull { (_, heardMs) -> heardMs } ?: return
+    changeMembers(MemberChange.Remove(silent.first.replicaId))
+}
+
 internal fun StepScope.promoteLearner() {
     if (!state.ready || state.log.membershipIndex > state.commitIndex) return
     val learner = state.membership.members.find { !it.voter && isCaughtUp(it.replicaId) } ?: return
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
@@ -7,13 +7,21 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 
-/** Timing and limits of the consensus core. */
+/**
+ * Timing and limits of the consensus core.
+ *
+ * @property targetMembers a silent member is removed while there are more than this many, so that a
+ *   replacement at another address takes its place; null keeps every member
+ * @property replaceAfterMs silence after which a member counts as replaced
+ */
 internal data class RaftSettings(
     val electionTimeoutMs: Long = 1_000,
     val heartbeatMs: Long = 150,
     val maxAppendBytes: Int = MAX_MESSAGE_PAYLOAD_BYTES,
     val maxInFlightAppends: Int = 64,
-    val promoteWithinEntries: Long = 256
+    val promoteWithinEntries: Long = 256,
+    val targetMembers: Int? = null,
+    val replaceAfterMs: Long = 3_000
 )
 
 internal enum class Role { FOLLOWER, PRE_CANDIDATE, CANDIDATE, LEADER }
--- a/src/main/kotlin/dev/jackdawdale/raft/Replication.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/Replication.kt
@@ -19,6 +19,7 @@
         updatePeer(peer) { it.copy(waiting = false) }
         if (!sendAppends(peer)) sendHeartbeat(peer)
     }
+    removeSurplus()
     promoteLearner()
 }
 
--- a/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
@@ -97,6 +97,9 @@
         return current.accepted && current.link.send(message)
     }
 
+    /** Adds control hosts to those that are asked for the leader. */
+    fun learnControlHosts(hosts: List<HostId>) = search.learn(hosts)
+
     override fun close() {
         session?.link?.close("the host is stopping")
         scope.cancel()
