--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
@@ -0,0 +1,79 @@
+package dev.jackdawdale.push
+
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.staged.AdviceResult
+import dev.jackdawdale.staged.AdviceTerms
+import dev.jackdawdale.staged.StepId
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+
+private val longTerms = AdviceTerms(decisionMs = 480.0, perWorkerMs = 7.0, validMs = 2_000)
+private val shortTerms = AdviceTerms(decisionMs = 7.0, perWorkerMs = 0.1, validMs = 2_000)
+private val workers = List(3) { Candidate("w$it", boot = 1) }
+private val hosts = List(4) { HostId("h$it") }
+
+private fun stepId(name: String) = StepId(name, 0, 0)
+
+private class Sent {
+    val calls = ArrayList<AdviceCall>()
+    val desk = AdviceDesk {
+        calls += it
+        true
+    }
+}
+
+class AdviceDeskTest :
+    FunSpec({
+        test("long calls leave half of the hosts to short ones") {
+            val sent = Sent()
+            repeat(6) { sent.desk.want(stepId("long$it"), longTerms, workers, it.toDouble(), 0) }
+            sent.desk.dispatch(hosts, 0)
+            sent.calls shouldHaveSize 2
+            sent.desk.want(stepId("short"), shortTerms, workers, 100.0, 10)
+            sent.desk.dispatch(hosts, 10)
+            sent.calls.last().stepId shouldBe stepId("short")
+        }
+
+        test("one host has one call at a time") {
+            val sent = Sent()
+            repeat(6) { sent.desk.want(stepId("s$it"), shortTerms, workers, it.toDouble(), 0) }
+            sent.desk.dispatch(hosts, 0)
+            sent.calls.map { it.hostId }.toSet() shouldHaveSize 4
+            sent.calls shouldHaveSize 4
+        }
+
+        test("a ticket serves the boot it was given for, until it lapses") {
+            val sent = Sent()
+            sent.desk.want(stepId("s"), shortTerms, workers, 0.0, 0)
+            sent.desk.dispatch(hosts, 0)
+            val call = sent.calls.single()
+            sent.desk.answered(call.hostId, call.callId, AdviceResult.Given(mapOf("w1" to "t")), 10)
+            sent.desk.ticket(stepId("s"), "w1", boot = 1, untilMs = 1_500)?.text shouldBe "t"
+            sent.desk.ticket(stepId("s"), "w1", boot = 2, untilMs = 1_500) shouldBe null
+            sent.desk.ticket(stepId("s"), "w1", boot = 1, untilMs = 2_500) shouldBe null
+            sent.desk.ticket(stepId("s"), "w2", boot = 1, untilMs = 1_500) shouldBe null
+        }
+
+        test("a worker that the policy refuses is not asked about again") {
+            val sent = Sent()
+            sent.desk.want(stepId("s"), shortTerms, workers, 0.0, 0)
+            sent.desk.dispatch(hosts, 0)
+            val call = sent.calls.single()
+            sent.desk.answered(call.hostId, call.callId, AdviceResult.Given(mapOf("w1" to "t")), 10)
+            sent.desk.want(stepId("s"), shortTerms, workers, 0.0, 5_000)
+            sent.desk.dispatch(hosts, 5_000)
+            sent.calls.last().asked shouldBe listOf(Candidate("w1", 1))
+        }
+
+        test("a call without an answer frees its host and is made again") {
+            val sent = Sent()
+            sent.desk.want(stepId("s"), shortTerms, workers, 0.0, 0)
+            sent.desk.dispatch(listOf(hosts[0]), 0)
+            sent.desk.want(stepId("s"), shortTerms, workers, 0.0, 10_000)
+            sent.desk.dispatch(listOf(hosts[0]), 10_000)
+            sent.calls shouldHaveSize 2
+            val late = AdviceResult.Given(mapOf("w1" to "late"))
+            sent.desk.answered(hosts[0], sent.calls[0].callId, late, 10_001) shouldBe false
+        }
+    })
