--- a/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
@@ -129,13 +129,13 @@
         step.inFlight = true
     }
 
-    /** Takes an answer; returns false for one that came after its call was given up. */
-    fun answered(hostId: HostId, callId: Long, result: AdviceResult, nowMs: Long): Boolean {
-        val call = calls.remove(callId) ?: return false
+    /** Takes an answer and returns its call, or null for a call that was given up. */
+    fun answered(hostId: HostId, callId: Long, result: AdviceResult, nowMs: Long): AdviceCall? {
+        val call = calls.remove(callId) ?: return null
         if (busy[hostId] === call) busy.remove(hostId)
-        val step = steps[call.stepId] ?: return false
+        val step = steps[call.stepId] ?: return call
         step.inFlight = false
-        if (result !is AdviceResult.Given) return false
+        if (result !is AdviceResult.Given) return call
         step.asked += call.asked
         step.wanted = emptyList()
         for (candidate in call.asked) {
@@ -146,7 +146,7 @@
             step.tickets[candidate.workerId] =
                 Ticket(ticket, candidate.boot, givenMs + call.terms.validMs)
         }
-        return true
+        return call
     }
 
     /** Whether a call for the step is under way. */
--- a/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
@@ -20,9 +20,11 @@
 import dev.jackdawdale.staged.job
 import dev.jackdawdale.staged.jobIdIn
 import dev.jackdawdale.staged.queueFor
+import dev.jackdawdale.telemetry.DecisionLog
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.push")
+private val decisions = DecisionLog(log)
 
 /** The part of the control thread that serves staged jobs. */
 internal class StagedControl(
@@ -97,14 +99,17 @@
         val spec = StagedJobSpec(jobId, queue.name, command.payload, command.steps, command.schedule)
         problemOf(spec)?.let { return StagedReply.Malformed(it) }
         leading.emit(pass, StagedEvent.JobAccepted(spec, queue))
-        log.info("accepts job {} of queue {} with {} steps", jobId, queue.name, spec.steps.size)
+        decisions.line(pass.nowMs, jobId) {
+            val version = pass.state.staged.configuration?.version
+            "accepts a job of queue ${queue.name}, configuration $version, ${spec.steps.size} steps"
+        }
         return StagedReply.Job(jobId, JobProgress.QUEUED)
     }
 
     private fun cancel(pass: Pass, leading: StagedLeader, jobId: String): StagedReply {
         val known = pass.state.staged.job(jobId)
         if (known?.outcome == null) leading.emit(pass, StagedEvent.JobCancelled(jobId))
-        log.info("cancels job {}: {}", jobId, known?.progress ?: "not known")
+        decisions.line(pass.nowMs, jobId) { "cancels a job: ${known?.progress ?: "not known"}" }
         val after = pass.state.staged.job(jobId) ?: return StagedReply.NoSuchJob
         return StagedReply.Job(jobId, after.progress)
     }
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -19,9 +19,11 @@
 import dev.jackdawdale.staged.held
 import dev.jackdawdale.staged.job
 import dev.jackdawdale.staged.task
+import dev.jackdawdale.telemetry.DecisionLog
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.push")
+private val decisions = DecisionLog(log)
 
 /**
  * What the leader needs of its surroundings. All but [submit] are called on the control thread.
@@ -92,7 +94,10 @@
 
     /** Makes [event] part of the pass and keeps the indexes of this leader in step. */
     fun emit(pass: Pass, event: StagedEvent) {
+        val jobId = (event as? StagedEvent.RunEnded)?.taskId?.stepId?.jobId
+        val before = jobId?.let { pass.state.staged.job(it)?.outcome }
         pass.emit(Event.Staged(event))
+        if (event is StagedEvent.RunEnded) logEnd(pass, event, before)
         when (event) {
             is StagedEvent.JobAccepted -> refresh(pass, event.spec.jobId)
             is StagedEvent.OccurrenceBegun -> refresh(pass, event.jobId)
@@ -112,6 +117,16 @@
         }
     }
 
+    private fun logEnd(pass: Pass, event: StagedEvent.RunEnded, outcomeBefore: JobOutcome?) {
+        val jobId = event.taskId.stepId.jobId
+        decisions.line(pass.nowMs, jobId) { "run ${event.run} of ${event.taskId}: ${event.result}" }
+        val job = pass.state.staged.job(jobId) ?: return
+        if (job.outcome != null && outcomeBefore == null) {
+            val tookMs = pass.nowMs - job.acceptedAtMs
+            decisions.line(pass.nowMs, jobId) { "job ends ${job.outcome} $tookMs ms after accept" }
+        }
+    }
+
     private fun refresh(pass: Pass, jobId: String) {
         val job = pass.state.staged.active[jobId]
         val steps = job?.let(::readySteps).orEmpty()
@@ -597,7 +612,10 @@
             PlacedTask(index, workerId, links.getValue(workerId).worker.boot)
         }
         emit(pass, StagedEvent.TasksPlaced(step.id, run, term, placed))
-        log.info("places {} run {} on {}", step.id, run, chosen)
+        decisions.line(pass.nowMs, job.spec.jobId) {
+            val leftMs = step.latestStartMs - pass.nowMs
+            "places step ${step.id.step} run $run term $term on $chosen, $leftMs ms before late"
+        }
         for ((index, workerId) in chosen) {
             val link = links.getValue(workerId)
             val taskId = StageTaskId(step.id, index)
@@ -615,7 +633,12 @@
 
     fun adviceAnswered(pass: Pass, hostId: HostId, callId: Long, result: AdviceResult) {
         if (result !is AdviceResult.Given) log.warn("advice call {} at {}: {}", callId, hostId, result)
-        desk.answered(hostId, callId, result, pass.nowMs)
+        val call = desk.answered(hostId, callId, result, pass.nowMs) ?: return
+        decisions.line(pass.nowMs, call.stepId.jobId) {
+            val given = (result as? AdviceResult.Given)?.tickets?.size ?: 0
+            val tookMs = pass.nowMs - call.sentAtMs
+            "advice for step ${call.stepId.step}: $given of ${call.asked.size} workers, $tookMs ms"
+        }
     }
 
     private companion object {
--- a/src/main/kotlin/dev/jackdawdale/standin/SampleWorker.kt
+++ b/src/main/kotlin/dev/jackdawdale/standin/SampleWorker.kt
@@ -11,13 +11,22 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 
+/** The clocks of a sample worker: the time of day, and the steady clock of its lease. */
+internal class WorkerClock(
+    val nowMs: () -> Long = System::currentTimeMillis,
+    val nanos: () -> Long = System::nanoTime
+)
+
 /**
  * A machine for tests and newcomers: it polls any entry host that answers, runs tasks as timers
  * and stops them when their lease runs out.
  *
  * The state is changed on one thread; the poll waits on another one.
  */
-internal class SampleWorker(private val options: WorkerOptions) : AutoCloseable {
+internal class SampleWorker(
+    private val options: WorkerOptions,
+    private val clock: WorkerClock = WorkerClock()
+) : AutoCloseable {
     private val incarnation = System.currentTimeMillis()
     private val journal = options.journal?.let(::Journal)
     private val entryHosts = EntryHosts(options.entryUrls, options.token)
@@ -58,7 +67,7 @@
         stopping.set(true)
         poller.interrupt()
         poller.join(JOIN_MS)
-        state.submit { stopTasks(System.currentTimeMillis(), "worker stopped") }.get()
+        state.submit { stopTasks(clock.nowMs(), "worker stopped") }.get()
         state.shutdownNow()
         write(JournalEvent.DOWN) { it }
         journal?.close()
@@ -92,7 +101,7 @@
     private fun pollOnce(): String? {
         val announcement = state.submit<WorkerAnnouncement> { announcement() }.get()
         // The lease counts from before the sending, so that it never ends after the cell's count.
-        val sentAtNs = System.nanoTime()
+        val sentAtNs = clock.nanos()
         val path = "/v1/workers/${options.id}/announce"
         val response = entryHosts.post(
             path,
@@ -135,14 +144,15 @@
         checkTimers()
         leaseEndsAtNs = sentAtNs + TimeUnit.MILLISECONDS.toNanos(orders.leaseMs)
         table.acknowledge(orders.acknowledged)
-        val leaseIsOver = System.nanoTime() >= (leaseEndsAtNs ?: 0)
-        orders.orders.forEach { order -> carryOut(order, leaseIsOver) }
+        orders.orders.forEach(::carryOut)
         // An answer to an announcement from before the leave does not mean that the cell knows.
         if (toldLeaving && table.held.isEmpty() && table.ended.isEmpty()) drained.countDown()
     }
 
-    private fun carryOut(order: TaskOrder, leaseIsOver: Boolean) {
-        val nowMs = System.currentTimeMillis()
+    private fun carryOut(order: TaskOrder) {
+        // Read before the lease is checked: a pause after the check does not make the start late.
+        val nowMs = clock.nowMs()
+        val leaseIsOver = clock.nanos() >= (leaseEndsAtNs ?: 0)
         when (order.order) {
             "start" -> if (!leaseIsOver || !options.enforcesLeases) start(order, nowMs)
             "stop" -> stop(order, nowMs, TaskResult.STOPPED)
@@ -165,7 +175,7 @@
                 it.copy(taskId = order.taskId, token = order.token, result = "old token")
             }
         } else {
-            write(JournalEvent.START) { it.of(task) }
+            write(JournalEvent.START, nowMs) { it.of(task) }
         }
     }
 
@@ -183,10 +193,10 @@
      * machine, also while this process is frozen.
      */
     private fun checkTimers() {
-        val nowMs = System.currentTimeMillis()
+        val nowMs = clock.nowMs()
         val leaseEnd = leaseEndsAtNs
         val overSinceMs =
-            leaseEnd?.let { TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - it) } ?: -1
+            leaseEnd?.let { TimeUnit.NANOSECONDS.toMillis(clock.nanos() - it) } ?: -1
         val leaseEndMs = nowMs - overSinceMs
         if (options.enforcesLeases && overSinceMs >= 0) {
             table.endDue(leaseEndMs).forEach(::writeEnd)
@@ -223,7 +233,7 @@
 
     private fun write(
         event: JournalEvent,
-        atMs: Long = System.currentTimeMillis(),
+        atMs: Long = clock.nowMs(),
         fill: (JournalLine) -> JournalLine
     ) {
         journal?.write(fill(JournalLine(atMs, options.id, incarnation, event)))
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/platform/WireWorkerTest.kt
@@ -0,0 +1,49 @@
+package dev.jackdawdale.platform
+
+import dev.jackdawdale.push.ListedEnd
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+
+private const val REPORT = """{"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1",
+"slots":8,"state":"ready","coldRemainingMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":0},
+"labels":["a","r1-3"],"clockMs":482113,"born":1700000000000,"sequence":4}"""
+
+private class ForeignCase(val name: String, val body: String)
+
+class WireWorkerTest :
+    FunSpec({
+        context("a report of another writer names no worker") {
+            withData(
+                nameFn = { it.name },
+                ForeignCase("a field is missing", REPORT.replace("\"zone\":\"z\",", "")),
+                ForeignCase("a field of another type", REPORT.replace("\"sequence\":4", "\"sequence\":\"4\"")),
+                ForeignCase("an unknown state", REPORT.replace("ready", "resting")),
+                ForeignCase("no capacity", REPORT.replace("capacity", "size")),
+                ForeignCase("unreadable", "\u0000\u0001"),
+                ForeignCase("empty", "")
+            ) { case ->
+                shouldThrow<MalformedBody> {
+                    decodeWorkerReport("i-1", case.body.encodeToByteArray())
+                }
+            }
+        }
+
+        test("a whole report is decoded once into the project's words") {
+            val report = decodeWorkerReport("i-1", REPORT.encodeToByteArray())
+            report.sequence shouldBe 4
+            report.worker.boot shouldBe 1_700_000_000_000
+            report.worker.cpuMillis shouldBe 16_000
+            report.worker.draining shouldBe false
+        }
+
+        test("an unreadable row of a list does not hide the others") {
+            val lists = """{"clockMs":5,"born":9,"running":[["a.0.1.2",3,"",50],["a.0.1"],7],
+                "endedRuns":[[58,"a.0.1.9",1,"done",""],[59,"a.0.1.8",1,"vanished",""]]}"""
+            val report = decodeRunReport(lists.encodeToByteArray())
+            report.boot shouldBe 9
+            report.running.map { it.taskId.index } shouldBe listOf(2)
+            report.ended.map { it.end } shouldBe listOf(ListedEnd.DONE)
+        }
+    })
--- a/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
@@ -74,6 +74,6 @@
             sent.desk.dispatch(listOf(hosts[0]), 10_000)
             sent.calls shouldHaveSize 2
             val late = AdviceResult.Given(mapOf("w1" to "late"))
-            sent.desk.answered(hosts[0], sent.calls[0].callId, late, 10_001) shouldBe false
+            sent.desk.answered(hosts[0], sent.calls[0].callId, late, 10_001) shouldBe null
         }
     })
--- a/src/test/kotlin/dev/jackdawdale/replica/MembershipTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/MembershipTest.kt
@@ -87,6 +87,22 @@
             cell.leader shouldBe leader
         }
 
+        test("a silent member stays until another one stands in for it") {
+            val cell = startedCell { it.copy(raft = it.raft.copy(targetMembers = 3)) }
+            val silent = cell.nodes.values.first { it != cell.leader }
+            cell.cutOff += silent.hostId
+            cell.runFor(10_000)
+            cell.voters().size shouldBe 3
+        }
+
+        test("the silent member is removed when there are more members than wanted") {
+            val cell = startedCell { it.copy(raft = it.raft.copy(targetMembers = 2)) }
+            val silent = cell.nodes.values.first { it != cell.leader }
+            cell.cutOff += silent.hostId
+            cell.runUntil(LIMIT_MS) { cell.voters().size == 2 } shouldBe true
+            cell.voters() shouldNotContain silent.storage.replicaId
+        }
+
         test("a second change is refused while one is not committed") {
             val cell = startedCell()
             val leader = cell.leader!!.replica!!
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/staged/ApplyStagedTest.kt
@@ -0,0 +1,181 @@
+package dev.jackdawdale.staged
+
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.Event
+import dev.jackdawdale.model.EventBatch
+import dev.jackdawdale.model.Resources
+import dev.jackdawdale.model.apply
+import dev.jackdawdale.model.decodeCellState
+import dev.jackdawdale.model.encode
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+
+private const val JOB = "5c0e7a21d94b36f8"
+private val queue = QueueSpec("plans", "host", "/plans/", "planning", maxAttempts = 2)
+private val single = StepSpec(taskCount = 2, perTask = Resources(1_000, 64))
+private val gang = single.copy(gang = true)
+
+private fun accepted(vararg steps: StepSpec) = StagedEvent.JobAccepted(
+    StagedJobSpec(JOB, queue.name, "payload", steps.toList()),
+    queue
+)
+
+private fun placed(run: Int, vararg indexes: Int) = StagedEvent.TasksPlaced(
+    StepId(JOB, 0, 0),
+    run,
+    term = 1,
+    placed = indexes.map { PlacedTask(it, "w$it", workerBoot = 1) }
+)
+
+private fun ended(index: Int, run: Int, result: RunResult, checkpoint: String = "") =
+    StagedEvent.RunEnded(StageTaskId(StepId(JOB, 0, 0), index), run, result, checkpoint)
+
+private fun stateAfter(vararg events: StagedEvent): StagedState =
+    events.fold(StagedState()) { state, event -> state.apply(event, atMs = 1_000) }
+
+private val StagedState.outcome: JobOutcome? get() = job(JOB)?.outcome
+
+private val StagedState.tasks: List<StageTask>
+    get() = active.getValue(JOB).occurrences[0].steps[0].tasks
+
+private class OutcomeCase(val name: String, val events: List<StagedEvent>, val outcome: JobOutcome?)
+
+class ApplyStagedTest :
+    FunSpec({
+        context("a job ends when its tasks say so") {
+            withData(
+                nameFn = { it.name },
+                OutcomeCase(
+                    "one task is missing",
+                    listOf(
+                        accepted(single),
+                        placed(1, 0, 1),
+                        ended(0, 1, RunResult.SUCCEEDED)
+                    ),
+                    null
+                ),
+                OutcomeCase(
+                    "all tasks have succeeded",
+                    listOf(
+                        accepted(single),
+                        placed(1, 0, 1),
+                        ended(0, 1, RunResult.SUCCEEDED),
+                        ended(1, 1, RunResult.SUCCEEDED)
+                    ),
+                    JobOutcome.COMPLETED
+                ),
+                OutcomeCase(
+                    "one success stands for the whole gang",
+                    listOf(accepted(gang), placed(1, 0, 1), ended(1, 1, RunResult.SUCCEEDED)),
+                    JobOutcome.COMPLETED
+                ),
+                OutcomeCase(
+                    "two members that fail in one run count as one failure",
+                    listOf(
+                        accepted(gang),
+                        placed(1, 0, 1),
+                        ended(0, 1, RunResult.FAILED),
+                        ended(1, 1, RunResult.FAILED)
+                    ),
+                    null
+                ),
+                OutcomeCase(
+                    "the last attempt failed",
+                    listOf(
+                        accepted(single),
+                        placed(1, 0),
+                        ended(0, 1, RunResult.FAILED),
+                        placed(2, 0),
+                        ended(0, 2, RunResult.FAILED)
+                    ),
+                    JobOutcome.FAILED
+                ),
+                OutcomeCase(
+                    "interrupted runs are no failures",
+                    listOf(
+                        accepted(single),
+                        placed(1, 0),
+                        ended(0, 1, RunResult.INTERRUPTED),
+                        placed(2, 0),
+                        ended(0, 2, RunResult.INTERRUPTED)
+                    ),
+                    null
+                ),
+                OutcomeCase(
+                    "a cancelled job stays cancelled when a late end arrives",
+                    listOf(
+                        accepted(single.copy(taskCount = 1)),
+                        placed(1, 0),
+                        StagedEvent.JobCancelled(JOB),
+                        ended(0, 1, RunResult.SUCCEEDED)
+                    ),
+                    JobOutcome.CANCELLED
+                ),
+                OutcomeCase(
+                    "a job that arrives after its cancellation never runs",
+                    listOf(StagedEvent.JobCancelled(JOB), accepted(single)),
+                    JobOutcome.CANCELLED
+                )
+            ) { case ->
+                stateAfter(*case.events.toTypedArray()).outcome shouldBe case.outcome
+            }
+        }
+
+        test("an end of an older run changes nothing") {
+            val state = stateAfter(accepted(single), placed(2, 0))
+            state.apply(ended(0, 1, RunResult.SUCCEEDED), 2_000) shouldBe state
+        }
+
+        test("a resend of an accepted job changes nothing") {
+            val state = stateAfter(accepted(single), placed(1, 0))
+            state.apply(accepted(single), 2_000) shouldBe state
+        }
+
+        test("a gang goes on from any member's checkpoint") {
+            val state = stateAfter(
+                accepted(gang),
+                placed(1, 0, 1),
+                ended(0, 1, RunResult.INTERRUPTED, "saved")
+            )
+            state.tasks.map { it.checkpoint } shouldBe listOf("saved", "saved")
+        }
+
+        test("a job keeps its place until the room of its last run is free") {
+            val cancelled =
+                stateAfter(accepted(single), placed(1, 0), StagedEvent.JobCancelled(JOB))
+            cancelled.active.keys shouldBe setOf(JOB)
+            val freed = cancelled.apply(ended(0, 1, RunResult.INTERRUPTED), 2_000)
+            freed.active.keys shouldBe emptySet()
+            freed.ended.keys shouldBe setOf(JOB)
+        }
+
+        test("ended jobs are forgotten in the order of their ends") {
+            val state = stateAfter(accepted(single), StagedEvent.JobCancelled(JOB))
+            state.apply(StagedEvent.JobsForgotten(1_000), 2_000).job(JOB)?.outcome shouldBe
+                JobOutcome.CANCELLED
+            state.apply(StagedEvent.JobsForgotten(1_001), 2_000).job(JOB) shouldBe null
+        }
+
+        test("a snapshot restores staged jobs, workers and queues") {
+            val worker = PushWorker(
+                "w1",
+                boot = 7,
+                address = "127.0.0.1:1",
+                service = "planning",
+                failureDomain = "local",
+                cpuMillis = 1_000,
+                memoryMib = 64,
+                accelerators = 0,
+                labels = listOf("a", "r1-1")
+            )
+            val events = listOf(
+                StagedEvent.Configured(QueueConfiguration(3, "{}", listOf(queue), listOf("p"))),
+                StagedEvent.WorkerReported(worker),
+                accepted(single, gang.copy(after = listOf(0))),
+                placed(1, 0)
+            ).map { Event.Staged(it) }
+            val state = CellState().apply(EventBatch(5_000, events)).state
+            decodeCellState(state.encode()) shouldBe state
+        }
+    })
--- a/src/test/kotlin/dev/jackdawdale/standin/SampleWorkerTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/standin/SampleWorkerTest.kt
@@ -31,6 +31,28 @@
             }
         }
 
+        test("a pause within a batch of orders does not start the rest after the lease") {
+            val journal = Files.createTempFile("worker", ".jsonl")
+            val batch = List(3) { start("c/j#$it", it + 1L, "run_ms=60000") }
+            val reply = FakeAnswer(200, snakeJson.encodeToString(WorkerOrders(5_000, emptyList(), batch)))
+            fun pauseMs() =
+                if (readJournal(journal).any { it.event == JournalEvent.START }) 20_000L else 0L
+            val clock = WorkerClock(
+                nowMs = { System.currentTimeMillis() + pauseMs() },
+                nanos = { System.nanoTime() + pauseMs() * 1_000_000 }
+            )
+            FakeEntryHost { reply }.use { entry ->
+                val options = WorkerOptions("w1", listOf(entry.url), journal = journal)
+                SampleWorker(options, clock).use { worker ->
+                    worker.start()
+                    eventually(10.seconds) {
+                        readJournal(journal).last().result shouldBe "lease ended"
+                    }
+                }
+            }
+            readJournal(journal).count { it.event == JournalEvent.START } shouldBe 1
+        }
+
         test("tasks stop when the lease ends and no entry host answers") {
             val journal = Files.createTempFile("worker", ".jsonl")
             val silent = AtomicBoolean()
