Move runs away from workers that hang or crawl

A worker in trouble reports itself healthy; the progress of several runs against their declared times tells it from slow work.

--- a/src/main/kotlin/dev/jackdawdale/outgoing/HttpCaller.kt
+++ b/src/main/kotlin/dev/jackdawdale/outgoing/HttpCaller.kt
@@ -95,7 +95,11 @@
         var written = false
         private var ended = false
         private val timer: ScheduledFuture<*> = loop.schedule(
-            { fail("no answer within ${call.timeoutMs} ms") },
+            {
+                // The other connections may have fallen silent with this one.
+                channel?.pipeline()?.get(AnswerHandler::class.java)?.pool?.dropIdle()
+                fail("no answer within ${call.timeoutMs} ms")
+            },
             call.timeoutMs,
             TimeUnit.MILLISECONDS
         )
@@ -130,7 +134,9 @@
             }
         }
 
-        fun close() = idle.forEach { it.close() }
+        fun close() = dropIdle()
+
+        fun dropIdle() = idle.toList().forEach { it.close() }
 
         private fun takeIdle(): Channel? {
             while (idle.isNotEmpty()) idle.removeLast().takeIf { it.isActive }?.let { return it }
@@ -189,7 +195,7 @@
         }
     }
 
-    private inner class AnswerHandler(private val pool: Pool) :
+    private inner class AnswerHandler(val pool: Pool) :
         SimpleChannelInboundHandler<FullHttpResponse>() {
         var call: PendingCall? = null
 
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -47,6 +47,10 @@
 private const val STORAGE_EXIT_CODE = 74
 private const val SNAPSHOT_EVERY_BYTES = 8L * 1024 * 1024
 private const val RETAINED_BYTES = 2L * 1024 * 1024
+
+/** A connection may fall silent without an error; it is replaced within the election timeout. */
+private const val PEER_HEARTBEAT_MS = 250L
+private const val PEER_SILENCE_MS = 1_000L
 private const val SESSION_SILENCE_MS = 1_500L
 private const val RECONNECT_MAX_MS = 300L
 
@@ -173,6 +177,8 @@
             FrameClock()
         ).copy(
             resolve = { PeerAddress(it.value, settings.peerPort) },
+            heartbeatMs = PEER_HEARTBEAT_MS,
+            silenceTimeoutMs = PEER_SILENCE_MS,
             sessionSilenceMs = SESSION_SILENCE_MS,
             reconnectMaxMs = RECONNECT_MAX_MS
         )
--- a/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
@@ -24,6 +24,7 @@
  *
  * @property counted what it takes of the worker's capacity
  * @property stopAnsweredMs when the worker accepted a stop for it, or null
+ * @property resumed whether the run went on from a checkpoint
  * @property checkpoint the last one that the worker listed
  */
 internal data class HeldRun(
@@ -36,5 +37,6 @@
     val stopAnsweredMs: Long? = null,
     val checkpoint: String = "",
     val percent: Int = 0,
-    val progressMs: Long = placement.placedAtMs
+    val progressMs: Long = placement.placedAtMs,
+    val resumed: Boolean = false
 )
--- a/src/main/kotlin/dev/jackdawdale/push/PushSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/PushSettings.kt
@@ -24,7 +24,7 @@
     val settleSlackMs: Long = 300,
     val startValidMs: Long = 1_500,
     val startAnswerMs: Long = 400,
-    val reportWaitMs: Long = 1_000,
+    val reportWaitMs: Long = 500,
     val reportRetryMs: Long = 200,
     val stopRetryMs: Long = 400,
     val quorumFreshMs: Long = 700,
@@ -32,7 +32,7 @@
     val silentForgetMs: Long = 20_000,
     val endedKeepMs: Long = 300_000,
     val suspectMs: Long = 8_000,
-    val stalledMs: Long = 2_500
+    val stalledMs: Long = 1_500
 )
 
 /** Time after the last grant until everything on a silent worker has ended. */
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/push/RunProgress.kt
@@ -0,0 +1,95 @@
+package dev.jackdawdale.push
+
+import dev.jackdawdale.staged.StageTaskId
+
+/**
+ * How a run on a worker goes.
+ *
+ * @property estimatedMs declared run time, or null when the job declares none
+ * @property percent share of its work that is done, as its worker lists it
+ * @property resumed whether it went on from a checkpoint, so that [percent] tells nothing of speed
+ * @property sinceMs when it was placed
+ * @property progressMs when [percent] changed last
+ */
+internal data class RunProgress(
+    val taskId: StageTaskId,
+    val estimatedMs: Long?,
+    val percent: Int,
+    val resumed: Boolean,
+    val gang: Boolean,
+    val checkpoints: Boolean,
+    val sinceMs: Long,
+    val progressMs: Long
+)
+
+/**
+ * Runs that are better off on another worker.
+ *
+ * @property suspect the worker itself is the cause, so it is used last for a while
+ */
+internal data class Moves(val suspect: Boolean, val runs: List<StageTaskId>)
+
+/** A run younger than this tells nothing of its worker's speed. */
+private const val SPEED_KNOWN_AFTER_MS = 400L
+private const val SPEED_KNOWN_PERCENT = 5
+
+/** Declared run times are off by less than this, a worker in trouble by more. */
+private const val SLOW_FACTOR = 2.5
+
+/** One run alone may be a straggler by its own nature. */
+private const val MIN_SLOW_RUNS = 2
+
+/** Advice, commit and start of the next run. */
+private const val MOVE_COST_MS = 300L
+
+/** Members of a gang stand still until all are there. */
+private const val GANG_PATIENCE_FACTOR = 3
+private const val WHOLE_PERCENT = 100
+
+/**
+ * Finds the runs on one worker that stand still or crawl.
+ *
+ * Answers a load in which some workers hang or turn slow while they report themselves healthy: a
+ * slow worker is told from slow work by comparing several runs with their declared times.
+ */
+internal fun decideMoves(runs: List<RunProgress>, stalledMs: Long, nowMs: Long): Moves {
+    val stalled = runs.filter { run ->
+        val patienceMs = if (run.gang) stalledMs * GANG_PATIENCE_FACTOR else stalledMs
+        run.percent < WHOLE_PERCENT && nowMs - run.progressMs > patienceMs
+    }
+    val slow = slowRuns(runs, nowMs)
+    val isStalled = stalled.any { !it.gang }
+    return Moves(isStalled || slow.isNotEmpty(), (stalled + slow).map { it.taskId }.distinct())
+}
+
+private fun slowRuns(runs: List<RunProgress>, nowMs: Long): List<RunProgress> {
+    val factors = runs.filter { !it.gang }.mapNotNull { it.slowness(nowMs) }.sorted()
+    val isSlow = factors.size >= MIN_SLOW_RUNS && factors[(factors.size - 1) / 2] > SLOW_FACTOR
+    if (!isSlow) return emptyList()
+    return runs.filter { run ->
+        val estimateMs = run.estimatedMs ?: return@filter false
+        val leftMs = run.leftMs(nowMs) ?: return@filter false
+        val elsewhereMs = if (run.checkpoints) {
+            estimateMs * (WHOLE_PERCENT - run.percent) / WHOLE_PERCENT
+        } else {
+            estimateMs
+        }
+        leftMs > elsewhereMs + MOVE_COST_MS
+    }
+}
+
+/** How many times longer than declared the run will take, or null while that is not known. */
+private fun RunProgress.slowness(nowMs: Long): Double? {
+    val estimateMs = estimatedMs?.takeIf { it > 0 } ?: return null
+    val tookMs = nowMs - sinceMs
+    if (resumed || tookMs < SPEED_KNOWN_AFTER_MS) return null
+    // Without any progress the run takes at least as long as it took so far for one percent.
+    val percent = percent.coerceAtLeast(1)
+    if (percent < SPEED_KNOWN_PERCENT && tookMs < estimateMs) return null
+    return tookMs.toDouble() * WHOLE_PERCENT / percent / estimateMs
+}
+
+private fun RunProgress.leftMs(nowMs: Long): Long? {
+    if (resumed || percent <= 0) return null
+    return (nowMs - sinceMs) * (WHOLE_PERCENT - percent) / percent
+}
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -58,6 +58,7 @@
     private val desk = AdviceDesk(around.askAdvice)
     private val notBeforeMs = HashMap<String, Long>()
     private var forgetDueMs = nowMs + FORGET_EVERY_MS
+    private var moveDueMs = nowMs
 
     init {
         val lapsedMs = nowMs + settings.lapseMs
@@ -65,7 +66,14 @@
         for (job in state.active.values) {
             job.held().forEach { (taskId, placement) ->
                 val spec = job.spec.steps[taskId.stepId.step]
-                val run = HeldRun(taskId, placement, spec.counted, StartState.Inherited)
+                val run = HeldRun(
+                    taskId,
+                    placement,
+                    spec.counted,
+                    StartState.Inherited,
+                    progressMs = nowMs,
+                    resumed = true
+                )
                 linkFor(placement, lapsedMs, nowMs)?.hold(run)
             }
             ready[job.spec.jobId] = readySteps(job)
@@ -303,6 +311,7 @@
         link.reachable = true
         link.synced = true
         link.heardMs = nowMs
+        link.reportedMs = nowMs
         val settled = settleReport(link.held, report, askedAtMs, link.decidedEnd, nowMs)
         settled.held.values.forEach(link::update)
         settled.events.forEach { judge(link, it, nowMs) }
@@ -492,6 +501,7 @@
     fun decide(pass: Pass) {
         val nowMs = pass.nowMs
         lapse(pass)
+        moveStuck(pass)
         beginOccurrences(pass)
         forget(pass)
         place(pass)
@@ -517,6 +527,44 @@
         }
     }
 
+    private fun moveStuck(pass: Pass) {
+        if (pass.nowMs < moveDueMs) return
+        moveDueMs = pass.nowMs + MOVE_EVERY_MS
+        for (link in links.values) {
+            if (!link.reachable || pass.nowMs - link.reportedMs > settings.stalledMs) continue
+            val progress = link.held.values.mapNotNull { progressOf(pass, it) }
+            val moves = decideMoves(progress, settings.stalledMs, pass.nowMs)
+            if (moves.suspect) link.suspectUntilMs = pass.nowMs + settings.suspectMs
+            for (taskId in moves.runs) {
+                val run = link.held.getValue(taskId)
+                decisions.line(pass.nowMs, taskId.stepId.jobId) {
+                    "moves run ${run.placement.run} of $taskId from ${link.worker.workerId}, " +
+                        "${run.percent}% after ${pass.nowMs - run.placement.placedAtMs} ms"
+                }
+                link.update(run.copy(stopWanted = true))
+            }
+        }
+    }
+
+    private fun progressOf(pass: Pass, run: HeldRun): RunProgress? {
+        val job = pass.state.staged.job(run.taskId.stepId.jobId) ?: return null
+        val spec = job.spec.steps.getOrNull(run.taskId.stepId.step) ?: return null
+        val isOver = pass.state.staged.task(run.taskId)?.succeeded ?: true
+        if (isOver || run.stopWanted || spec.longRunning || run.start !is StartState.Confirmed) {
+            return null
+        }
+        return RunProgress(
+            run.taskId,
+            spec.estimatedMs.takeIf { it > 0 },
+            run.percent,
+            resumed = run.resumed,
+            gang = spec.gang,
+            checkpoints = spec.checkpoints,
+            sinceMs = run.placement.placedAtMs,
+            progressMs = run.progressMs
+        )
+    }
+
     private fun beginOccurrences(pass: Pass) {
         for (job in pass.state.staged.active.values) {
             val schedule = job.spec.schedule ?: continue
@@ -620,7 +668,15 @@
             val link = links.getValue(workerId)
             val taskId = StageTaskId(step.id, index)
             val placement = RunPlacement(workerId, link.worker.boot, run, term, pass.nowMs)
-            link.hold(HeldRun(taskId, placement, step.spec.counted, StartState.Unsent))
+            link.hold(
+                HeldRun(
+                    taskId,
+                    placement,
+                    step.spec.counted,
+                    StartState.Unsent,
+                    resumed = step.step.tasks[index].checkpoint.isNotEmpty()
+                )
+            )
             val ticket = desk.ticket(step.id, workerId, link.worker.boot, pass.nowMs)
             val order = StartDraft(
                 job.spec.payload,
@@ -643,6 +699,7 @@
 
     private companion object {
         const val FORGET_EVERY_MS = 5_000L
+        const val MOVE_EVERY_MS = 200L
         const val REFUSED_PAUSE_MS = 50L
         const val TICKET_MARGIN_MS = 150L
         const val MAX_START_TRIES = 3
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerLink.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerLink.kt
@@ -31,6 +31,9 @@
     var reachable = false
     var heardMs = nowMs
     var sequence = -1L
+
+    /** When the worker listed its runs last. */
+    var reportedMs = 0L
     var leaving = false
     var suspectUntilMs = 0L
     var failuresInRow = 0
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/push/RunProgressTest.kt
@@ -0,0 +1,82 @@
+package dev.jackdawdale.push
+
+import dev.jackdawdale.staged.StageTaskId
+import dev.jackdawdale.staged.StepId
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+
+private const val STALLED_MS = 1_500L
+private const val NOW_MS = 100_000L
+
+private fun id(index: Int) = StageTaskId(StepId("job", 0, 0), index)
+
+/** A run that began [ageMs] ago and changed its percent [quietMs] ago. */
+private fun run(index: Int, percent: Int, ageMs: Long = 2_000, quietMs: Long = 100) = RunProgress(
+    id(index),
+    estimatedMs = 2_000,
+    percent = percent,
+    resumed = false,
+    gang = false,
+    checkpoints = false,
+    sinceMs = NOW_MS - ageMs,
+    progressMs = NOW_MS - quietMs
+)
+
+private class MoveCase(val name: String, val runs: List<RunProgress>, val moves: Moves)
+
+class RunProgressTest :
+    FunSpec({
+        context("runs leave a worker that hangs or crawls, and no other") {
+            withData(
+                nameFn = { it.name },
+                MoveCase(
+                    "healthy runs stay",
+                    listOf(run(0, 90), run(1, 80)),
+                    Moves(false, emptyList())
+                ),
+                MoveCase(
+                    "a run that stands still",
+                    listOf(run(0, 40, quietMs = 1_501)),
+                    Moves(true, listOf(id(0)))
+                ),
+                MoveCase(
+                    "a finished run whose end is on its way",
+                    listOf(run(0, 100, quietMs = 1_501)),
+                    Moves(false, emptyList())
+                ),
+                MoveCase(
+                    "a gang that waits for its members",
+                    listOf(run(0, 0, quietMs = 3_000).copy(gang = true)),
+                    Moves(false, emptyList())
+                ),
+                MoveCase(
+                    "one straggler is no sign of a slow worker",
+                    listOf(run(0, 10), run(1, 95)),
+                    Moves(false, emptyList())
+                ),
+                MoveCase(
+                    "one straggler alone",
+                    listOf(run(0, 10)),
+                    Moves(false, emptyList())
+                ),
+                MoveCase(
+                    "all runs crawl",
+                    listOf(run(0, 15), run(1, 12)),
+                    Moves(true, listOf(id(0), id(1)))
+                ),
+                MoveCase(
+                    "a crawling run that is nearly done stays",
+                    listOf(run(0, 20), run(1, 12), run(2, 90, ageMs = 13_000)),
+                    Moves(true, listOf(id(0), id(1)))
+                ),
+                MoveCase(
+                    "a resumed run tells nothing of the worker's speed",
+                    listOf(run(0, 15), run(1, 12).copy(resumed = true)),
+                    Moves(false, emptyList())
+                )
+            ) { case ->
+                decideMoves(case.runs, STALLED_MS, NOW_MS) shouldBe case.moves
+            }
+        }
+    })
