Form the cell also when its first host died before; answer resends and reads in fewer rounds

Now the first host among those that were started to form the cell does. Ruled out: a lost disk (the folder was whole). Elections begin after 600 ms instead of 1 s, as callers wait 3 s.

--- a/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
@@ -51,6 +51,8 @@
     )
     private var leadership: Leadership? = null
     private var lastTickMs = 0L
+    private val unconfirmed = ArrayList<() -> Unit>()
+    private var confirmedMs = 0L
 
     /** What this leader adds to its clock, so that time never goes back in the log. */
     private var clockAheadMs = 0L
@@ -109,6 +111,7 @@
     fun lostLeadership(term: Long) {
         leadership = null
         inbox.clear()
+        unconfirmed.clear()
         waiters.clear()
         polls.clear()
         extension.lostLeadership()
@@ -232,7 +235,9 @@
 
     private fun finish(pass: Pass, leading: Leadership) {
         leading.soft = pass.soft
-        if (pass.events.isEmpty()) return confirm(pass.effects)
+        // Answers that wait for a confirmation go on also while there are events in every pass.
+        confirm(if (pass.events.isEmpty()) pass.effects else emptyList())
+        if (pass.events.isEmpty()) return
         val batch = EventBatch(pass.nowMs, pass.events)
         val index = log.propose(batch.encode(), clock()) ?: return
         leading.state = pass.state.copy(lastBatchMs = pass.nowMs)
@@ -243,10 +248,15 @@
      * Runs effects that follow from no event. They wait for a quorum's word that this replica
      * still leads, and then for all batches proposed so far.
      */
-    private fun confirm(effects: List<() -> Unit>) {
-        if (effects.isEmpty()) return
+    private fun confirm(added: List<() -> Unit>) {
+        unconfirmed += added
+        val nowMs = clock()
+        if (unconfirmed.isEmpty() || nowMs - confirmedMs < settings.confirmEveryMs) return
+        confirmedMs = nowMs
+        val effects = unconfirmed.toList()
+        unconfirmed.clear()
         val leading = leadership
-        log.confirmLeadership(clock()) { stillLeads ->
+        log.confirmLeadership(nowMs) { stillLeads ->
             if (!stillLeads || leadership !== leading) return@confirmLeadership
             val last = leading?.proposed?.lastOrNull()
             if (last == null) effects.forEach { it() } else last.effects += effects
--- a/src/main/kotlin/dev/jackdawdale/control/ControlSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlSettings.kt
@@ -16,6 +16,8 @@
  * @property maxInputsPerPass inputs decided together and synced in one log entry
  * @property maxBatchesInFlight proposed log entries that wait for their commit; further inputs
  *     wait and join the next entry
+ * @property confirmEveryMs shortest time between two questions to the quorum whether this replica
+ *     still leads; answers that change nothing share one
  * @property maxPlacementsPerPass placements decided in one pass, so that a pass stays short
  */
 internal data class ControlSettings(
@@ -32,5 +34,6 @@
     val endpointTimeoutMs: Long = 3_000,
     val maxInputsPerPass: Int = 2_000,
     val maxBatchesInFlight: Int = 4,
-    val maxPlacementsPerPass: Int = 1_000
+    val maxPlacementsPerPass: Int = 1_000,
+    val confirmEveryMs: Long = 0
 )
--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -11,6 +11,7 @@
 import dev.jackdawdale.replica.ReplicaSettings
 import dev.jackdawdale.control.ControlLoop
 import dev.jackdawdale.control.ControlObserver
+import dev.jackdawdale.control.ControlSettings
 import dev.jackdawdale.control.LogStatus
 import dev.jackdawdale.control.ReplicatedLog
 import dev.jackdawdale.control.SessionLink
@@ -64,6 +65,8 @@
     private val clock: () -> Long,
     private val storageFailed: (StorageError) -> Unit,
     replicaSettings: ReplicaSettings = settings.forReplica(),
+    controlSettings: ControlSettings = settings.forControl(),
+    pushSettings: PushSettings = PushSettings(),
     workerCalls: WorkerCalls? = null
 ) : AutoCloseable {
     private val control: ScheduledExecutorService = singleThread("control")
@@ -97,7 +100,7 @@
 
     private val staged: StagedControl? = workerCalls?.let {
         StagedControl(
-            PushSettings(),
+            pushSettings,
             LeaderSurroundings(
                 calls = it,
                 submit = { action -> onControl { loop.submit(action) } },
@@ -111,7 +114,7 @@
 
     private val loop: ControlLoop = ControlLoop(
         hostId = settings.host.id,
-        settings = settings.forControl(),
+        settings = controlSettings,
         log = ReplicatedLog(::propose, ::confirmLeadership, ::logStatus),
         records = recordAccess(records, recordReader, control),
         clock = clock,
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -8,6 +8,7 @@
 import dev.jackdawdale.entry.Route
 import dev.jackdawdale.entry.httpServer
 import dev.jackdawdale.host.ControlRole
+import dev.jackdawdale.host.forControl
 import dev.jackdawdale.host.forPeers
 import dev.jackdawdale.host.forReplica
 import dev.jackdawdale.host.steadyClock
@@ -49,9 +50,19 @@
 private const val RETAINED_BYTES = 2L * 1024 * 1024
 
 /** A connection may fall silent without an error; it is replaced within the election timeout. */
-private const val PEER_HEARTBEAT_MS = 250L
-private const val PEER_SILENCE_MS = 1_000L
-private const val SESSION_SILENCE_MS = 1_500L
+private const val PEER_HEARTBEAT_MS = 200L
+private const val PEER_SILENCE_MS = 700L
+private const val SESSION_SILENCE_MS = 1_100L
+
+/** Callers wait 3 s for an answer; a new leader has to stand well before that. */
+private const val ELECTION_TIMEOUT_MS = 600L
+private const val RAFT_HEARTBEAT_MS = 120L
+
+/** Questions to the quorum cost each replica a message; this is short against a run. */
+private const val CONFIRM_EVERY_MS = 15L
+
+/** A short search for the leader does not take this host out of the balancer. */
+private const val NOT_READY_AFTER_MS = 1_000L
 private const val RECONNECT_MAX_MS = 300L
 
 /** The balancer takes a host out after two refusals, a second apart. */
@@ -85,6 +96,12 @@
             clock,
             ::storageFailed,
             replicaSettings(),
+            hostSettings.forControl().copy(
+                quorumFreshMs = pushSettings.quorumFreshMs,
+                maxBatchesInFlight = 1,
+                confirmEveryMs = CONFIRM_EVERY_MS
+            ),
+            pushSettings,
             client.workerCalls
         )
     }
@@ -120,7 +137,15 @@
         httpServer(address.toHttp(), listOf(route))
     }
 
-    private val isReady: Boolean get() = !stopping && session?.isOpen ?: true
+    private val isReady: Boolean
+        get() {
+            val client = session ?: return !stopping
+            if (client.isOpen) lastOpenMs = clock()
+            return !stopping && clock() - lastOpenMs < NOT_READY_AFTER_MS
+        }
+
+    @Volatile
+    private var lastOpenMs = Long.MIN_VALUE / 2
 
     fun start() {
         control?.start()
@@ -185,7 +210,11 @@
     }
 
     private fun replicaSettings(): ReplicaSettings = hostSettings.forReplica().copy(
-        raft = RaftSettings(targetMembers = 2 * settings.lossesBorne + 1),
+        raft = RaftSettings(
+            electionTimeoutMs = ELECTION_TIMEOUT_MS,
+            heartbeatMs = RAFT_HEARTBEAT_MS,
+            targetMembers = 2 * settings.lossesBorne + 1
+        ),
         snapshotEveryBytes = SNAPSHOT_EVERY_BYTES,
         retainedBytes = RETAINED_BYTES,
         mayFormCell = settings.firstStart,
--- a/src/main/kotlin/dev/jackdawdale/push/PushSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/PushSettings.kt
@@ -27,7 +27,7 @@
     val reportWaitMs: Long = 500,
     val reportRetryMs: Long = 200,
     val stopRetryMs: Long = 400,
-    val quorumFreshMs: Long = 700,
+    val quorumFreshMs: Long = 400,
     val leaveSettleMs: Long = 500,
     val silentForgetMs: Long = 20_000,
     val endedKeepMs: Long = 300_000,
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -59,6 +59,8 @@
     private val notBeforeMs = HashMap<String, Long>()
     private var forgetDueMs = nowMs + FORGET_EVERY_MS
     private var moveDueMs = nowMs
+    private var reportsAsked = 0
+    private var reportsWithEnds = 0
 
     init {
         val lapsedMs = nowMs + settings.lapseMs
@@ -265,6 +267,7 @@
 
     private fun askReport(link: WorkerLink, nowMs: Long) {
         link.reportInFlight = true
+        reportsAsked++
         // Without an answer to the last question the lease runs out, which settles what runs there.
         val leaseMs = link.workerTimeMs(nowMs)?.takeIf { link.reachable }
             ?.let { it + settings.leaseMs }
@@ -312,6 +315,7 @@
         link.synced = true
         link.heardMs = nowMs
         link.reportedMs = nowMs
+        if (report.ended.isNotEmpty()) reportsWithEnds++
         val settled = settleReport(link.held, report, askedAtMs, link.decidedEnd, nowMs)
         settled.held.values.forEach(link::update)
         settled.events.forEach { judge(link, it, nowMs) }
@@ -579,6 +583,15 @@
     private fun forget(pass: Pass) {
         if (pass.nowMs < forgetDueMs) return
         forgetDueMs = pass.nowMs + FORGET_EVERY_MS
+        log.info(
+            "{} reports asked, {} with ends, {} jobs active, {} steps waiting",
+            reportsAsked,
+            reportsWithEnds,
+            pass.state.staged.active.size,
+            ready.values.sumOf { it.size }
+        )
+        reportsAsked = 0
+        reportsWithEnds = 0
         notBeforeMs.values.removeIf { it < pass.nowMs }
         val beforeMs = pass.nowMs - settings.endedKeepMs
         val oldest = pass.state.staged.ended.values.firstOrNull()?.endedAtMs ?: return
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftMessage.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftMessage.kt
@@ -142,13 +142,17 @@
 @SerialName("hello")
 internal data class Hello(override val from: ReplicaId, val hostId: HostId) : RaftMessage
 
-/** [blank] means that the sender's folder holds neither an entry nor a term. */
+/**
+ * [blank] means that the sender's folder holds neither an entry nor a term, [mayForm] that it may
+ * start the first log of the cell.
+ */
 @Serializable
 @SerialName("helloReply")
 internal data class HelloReply(
     override val from: ReplicaId,
     val hostId: HostId,
-    val blank: Boolean
+    val blank: Boolean,
+    val mayForm: Boolean = true
 ) : RaftMessage
 
 /** Asks for records from [number] on; [offset] continues a record that did not fit. */
--- a/src/main/kotlin/dev/jackdawdale/replica/Joining.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Joining.kt
@@ -11,22 +11,29 @@
 /**
  * Decides whether this replica may start the first log of the cell.
  *
- * Only the first configured host may, and only while every other configured host answers that
- * its folder is blank. A host that lost its disk therefore never takes itself for a new cell:
- * at least one other host holds a log, or does not answer.
+ * Only the first configured host that was started to form the cell may, and only while every other
+ * configured host answers that its folder is blank. A host that lost its disk therefore never takes
+ * itself for a new cell: at least one other host holds a log, or does not answer.
  */
 internal class Joining(private val hostId: HostId, private val hosts: List<HostId>) {
-    private class Answer(val replicaId: ReplicaId, val blank: Boolean, val atMs: Long)
+    private class Answer(
+        val replicaId: ReplicaId,
+        val blank: Boolean,
+        val mayForm: Boolean,
+        val atMs: Long
+    )
 
     private val answers = mutableMapOf<HostId, Answer>()
 
     fun onReply(reply: HelloReply, nowMs: Long) {
-        answers[reply.hostId] = Answer(reply.from, reply.blank, nowMs)
+        answers[reply.hostId] = Answer(reply.from, reply.blank, reply.mayForm, nowMs)
     }
 
     /** The first membership, or null while this replica must not form it. */
     fun firstMembership(self: ReplicaId, nowMs: Long): Membership? {
-        if (hostId != hosts.minByOrNull { it.value }) return null
+        val former = hosts.filter { it == hostId || answers[it]?.mayForm ?: true }
+            .minByOrNull { it.value }
+        if (hostId != former) return null
         val members = hosts.map { host ->
             if (host == hostId) return@map Member(self, hostId, voter = true)
             val answer = answers[host] ?: return null
--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -255,7 +255,9 @@
     }
 
     private fun onHello(from: HostId, message: Hello) {
-        callbacks.send(from, HelloReply(state.self, settings.hostId, state.isBlank))
+        val reply =
+            HelloReply(state.self, settings.hostId, state.isBlank, settings.mayFormCell)
+        callbacks.send(from, reply)
         val known = settings.admitsUnlisted ||
             from in settings.hosts || state.membership.members.any { it.hostId == from }
         if (state.ready && known) run(RaftInput.Join(message.from, from))
--- a/src/test/kotlin/dev/jackdawdale/replica/MembershipTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/MembershipTest.kt
@@ -87,6 +87,21 @@
             cell.leader shouldBe leader
         }
 
+        test("a cell forms although its first host died before and may not form it any more") {
+            val cell = TestCell(SEED, 3) {
+                it.copy(mayFormCell = it.hostId != it.hosts.minBy { host -> host.value })
+            }
+            cell.startAll()
+            cell.runUntil(LIMIT_MS) { cell.leader != null } shouldBe true
+        }
+
+        test("hosts that may not form a cell never do") {
+            val cell = TestCell(SEED, 3) { it.copy(mayFormCell = false) }
+            cell.startAll()
+            cell.runFor(LIMIT_MS)
+            cell.leader shouldBe null
+        }
+
         test("a silent member stays until another one stands in for it") {
             val cell = startedCell { it.copy(raft = it.raft.copy(targetMembers = 3)) }
             val silent = cell.nodes.values.first { it != cell.leader }
