Judge a worker's speed as of its last report

Ruled out: hung workers, there were none in the first seconds. Reports are not asked again before the ends in the last one are durable: 1119 reports in 5 s carried 902 lists of ends for about 500 ends.

--- a/src/main/kotlin/dev/jackdawdale/push/RunProgress.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunProgress.kt
@@ -8,8 +8,9 @@
  * @property estimatedMs declared run time, or null when the job declares none
  * @property percent share of its work that is done, as its worker lists it
  * @property resumed whether it went on from a checkpoint, so that [percent] tells nothing of speed
- * @property sinceMs when it was placed
+ * @property sinceMs when the worker confirmed it
  * @property progressMs when [percent] changed last
+ * @property asOfMs when the worker listed [percent]
  */
 internal data class RunProgress(
     val taskId: StageTaskId,
@@ -19,7 +20,8 @@
     val gang: Boolean,
     val checkpoints: Boolean,
     val sinceMs: Long,
-    val progressMs: Long
+    val progressMs: Long,
+    val asOfMs: Long
 )
 
 /**
@@ -34,10 +36,10 @@
 private const val SPEED_KNOWN_PERCENT = 5
 
 /** Declared run times are off by less than this, a worker in trouble by more. */
-private const val SLOW_FACTOR = 2.5
+private const val SLOW_FACTOR = 3.0
 
 /** One run alone may be a straggler by its own nature. */
-private const val MIN_SLOW_RUNS = 2
+private const val MIN_SLOW_RUNS = 3
 
 /** Advice, commit and start of the next run. */
 private const val MOVE_COST_MS = 300L
@@ -57,18 +59,18 @@
         val patienceMs = if (run.gang) stalledMs * GANG_PATIENCE_FACTOR else stalledMs
         run.percent < WHOLE_PERCENT && nowMs - run.progressMs > patienceMs
     }
-    val slow = slowRuns(runs, nowMs)
+    val slow = slowRuns(runs)
     val isStalled = stalled.any { !it.gang }
     return Moves(isStalled || slow.isNotEmpty(), (stalled + slow).map { it.taskId }.distinct())
 }
 
-private fun slowRuns(runs: List<RunProgress>, nowMs: Long): List<RunProgress> {
-    val factors = runs.filter { !it.gang }.mapNotNull { it.slowness(nowMs) }.sorted()
+private fun slowRuns(runs: List<RunProgress>): List<RunProgress> {
+    val factors = runs.filter { !it.gang }.mapNotNull { it.slowness() }.sorted()
     val isSlow = factors.size >= MIN_SLOW_RUNS && factors[(factors.size - 1) / 2] > SLOW_FACTOR
     if (!isSlow) return emptyList()
     return runs.filter { run ->
         val estimateMs = run.estimatedMs ?: return@filter false
-        val leftMs = run.leftMs(nowMs) ?: return@filter false
+        val leftMs = run.leftMs() ?: return@filter false
         val elsewhereMs = if (run.checkpoints) {
             estimateMs * (WHOLE_PERCENT - run.percent) / WHOLE_PERCENT
         } else {
@@ -79,9 +81,9 @@
 }
 
 /** How many times longer than declared the run will take, or null while that is not known. */
-private fun RunProgress.slowness(nowMs: Long): Double? {
+private fun RunProgress.slowness(): Double? {
     val estimateMs = estimatedMs?.takeIf { it > 0 } ?: return null
-    val tookMs = nowMs - sinceMs
+    val tookMs = asOfMs - sinceMs
     if (resumed || tookMs < SPEED_KNOWN_AFTER_MS) return null
     // Without any progress the run takes at least as long as it took so far for one percent.
     val percent = percent.coerceAtLeast(1)
@@ -89,7 +91,7 @@
     return tookMs.toDouble() * WHOLE_PERCENT / percent / estimateMs
 }
 
-private fun RunProgress.leftMs(nowMs: Long): Long? {
+private fun RunProgress.leftMs(): Long? {
     if (resumed || percent <= 0) return null
-    return (nowMs - sinceMs) * (WHOLE_PERCENT - percent) / percent
+    return (asOfMs - sinceMs) * (WHOLE_PERCENT - percent) / percent
 }
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -323,6 +323,8 @@
         settled.unwanted.forEach { stopListed(link, it) }
         link.decidedEnd = settled.lastEnd
         if (settled.lastEnd > link.acknowledgedEnd) {
+            // Asked before that, the worker would list the same ends again.
+            link.reportDueMs = nowMs + settings.reportRetryMs
             pass.whenDurable {
                 link.acknowledgedEnd = settled.lastEnd
                 link.reportDueMs = 0
@@ -536,7 +538,7 @@
         moveDueMs = pass.nowMs + MOVE_EVERY_MS
         for (link in links.values) {
             if (!link.reachable || pass.nowMs - link.reportedMs > settings.stalledMs) continue
-            val progress = link.held.values.mapNotNull { progressOf(pass, it) }
+            val progress = link.held.values.mapNotNull { progressOf(pass, link, it) }
             val moves = decideMoves(progress, settings.stalledMs, pass.nowMs)
             if (moves.suspect) link.suspectUntilMs = pass.nowMs + settings.suspectMs
             for (taskId in moves.runs) {
@@ -550,13 +552,12 @@
         }
     }
 
-    private fun progressOf(pass: Pass, run: HeldRun): RunProgress? {
+    private fun progressOf(pass: Pass, link: WorkerLink, run: HeldRun): RunProgress? {
         val job = pass.state.staged.job(run.taskId.stepId.jobId) ?: return null
         val spec = job.spec.steps.getOrNull(run.taskId.stepId.step) ?: return null
         val isOver = pass.state.staged.task(run.taskId)?.succeeded ?: true
-        if (isOver || run.stopWanted || spec.longRunning || run.start !is StartState.Confirmed) {
-            return null
-        }
+        val started = run.start as? StartState.Confirmed
+        if (isOver || run.stopWanted || spec.longRunning || started == null) return null
         return RunProgress(
             run.taskId,
             spec.estimatedMs.takeIf { it > 0 },
@@ -564,8 +565,9 @@
             resumed = run.resumed,
             gang = spec.gang,
             checkpoints = spec.checkpoints,
-            sinceMs = run.placement.placedAtMs,
-            progressMs = run.progressMs
+            sinceMs = started.atMs,
+            progressMs = run.progressMs,
+            asOfMs = link.reportedMs
         )
     }
 
