Tell slow workers from jobs with wrong estimates; find the next leader sooner

Several jobs have to agree now, and a task moves once for speed. Cause 2: entry hosts noticed a frozen leader after up to 1.6 s and dialled the same host again for 1 s, although the next leader stood 0.8 s after the freeze. The part of a leader in push is split by concern: members, reports, orders, placement, stuck runs.

--- a/src/main/kotlin/dev/jackdawdale/cli/Main.kt
+++ b/src/main/kotlin/dev/jackdawdale/cli/Main.kt
@@ -1,9 +1,9 @@
 package dev.jackdawdale.cli
 
 import dev.jackdawdale.host.runHost
-import kotlin.system.exitProcess
 import dev.jackdawdale.platform.DemoCommand
 import dev.jackdawdale.platform.PlatformCommand
+import kotlin.system.exitProcess
 import picocli.CommandLine
 import picocli.CommandLine.Command
 
--- a/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
@@ -1,6 +1,5 @@
 package dev.jackdawdale.control
 
-import dev.jackdawdale.model.Asked
 import dev.jackdawdale.model.CellState
 import dev.jackdawdale.model.Event
 import dev.jackdawdale.model.EventBatch
@@ -45,7 +44,7 @@
         waiters,
         polls::answerOrHold,
         ::answerQuery,
-        ::answerEnded,
+        { call, asked -> view()?.answerEnded(asked, call::reply) },
         observer.refused,
         extension
     )
@@ -134,7 +133,7 @@
     fun sessionClosed(link: SessionLink) = sessions.closed(link)
 
     /** Hosts whose sessions may be asked for calls to outside services. */
-    fun callingHosts(): Set<HostId> = sessions.dispatchable()
+    val callingHosts: Set<HostId> get() = sessions.dispatchable()
 
     /** Sends [message] to an entry host; false when it has no session. */
     fun sendTo(hostId: HostId, message: ControlMessage): Boolean {
@@ -320,10 +319,6 @@
         view()?.answer(query, call::reply)
     }
 
-    private fun answerEnded(call: CallContext, asked: Asked) {
-        view()?.answerEnded(asked, call::reply)
-    }
-
     private fun view(): CellView? =
         leadership?.let { CellView(hostId, committed, it, log.status(), records, now()) }
 }
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpConnection.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpConnection.kt
@@ -136,14 +136,14 @@
         onRoute(match.route)
         val principal = server.authenticator.authenticate(match.route.access, request.headers)
         val call = HttpCall(
-                principal,
-                match.path,
-                request.query(),
-                request.headers,
-                request.body,
-                request.method,
-                request.path
-            )
+            principal,
+            match.path,
+            request.query(),
+            request.headers,
+            request.body,
+            request.method,
+            request.path
+        )
         match.route.handle(call)
     } catch (e: HttpError) {
         e.toResult()
--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -1,27 +1,27 @@
 package dev.jackdawdale.host
 
 import dev.jackdawdale.control.ControlExtension
-import dev.jackdawdale.control.Pass
-import dev.jackdawdale.model.CellState
-import dev.jackdawdale.push.AdviceCall
-import dev.jackdawdale.push.LeaderSurroundings
-import dev.jackdawdale.push.PushSettings
-import dev.jackdawdale.push.StagedControl
-import dev.jackdawdale.push.WorkerCalls
-import dev.jackdawdale.replica.ReplicaSettings
 import dev.jackdawdale.control.ControlLoop
 import dev.jackdawdale.control.ControlObserver
 import dev.jackdawdale.control.ControlSettings
 import dev.jackdawdale.control.LogStatus
+import dev.jackdawdale.control.Pass
 import dev.jackdawdale.control.ReplicatedLog
 import dev.jackdawdale.control.SessionLink
+import dev.jackdawdale.model.CellState
 import dev.jackdawdale.model.HostId
+import dev.jackdawdale.push.AdviceCall
+import dev.jackdawdale.push.LeaderSurroundings
+import dev.jackdawdale.push.PushSettings
+import dev.jackdawdale.push.StagedControl
+import dev.jackdawdale.push.WorkerCalls
 import dev.jackdawdale.raft.RaftMessage
 import dev.jackdawdale.records.recordStore
 import dev.jackdawdale.replica.ProposeResult
 import dev.jackdawdale.replica.ReadResult
 import dev.jackdawdale.replica.Replica
 import dev.jackdawdale.replica.ReplicaCallbacks
+import dev.jackdawdale.replica.ReplicaSettings
 import dev.jackdawdale.replica.ReplicaStatus
 import dev.jackdawdale.replica.ReplicaThreads
 import dev.jackdawdale.replica.replica
@@ -106,7 +106,7 @@
                 submit = { action -> onControl { loop.submit(action) } },
                 quorumHeardMs = { logStatus().quorumHeardAtMs },
                 clock = clock,
-                callingHosts = { loop.callingHosts() },
+                callingHosts = { loop.callingHosts },
                 askAdvice = ::askAdvice
             )
         )
@@ -154,14 +154,12 @@
      * Decides [action] about staged jobs at the leader. [notLeading] gets the leader's host, when
      * known, if this replica does not lead; neither may be called when leadership is lost.
      */
-    fun submitStaged(
-        action: (StagedControl, Pass) -> Unit,
-        notLeading: (HostId?) -> Unit
-    ) = onControl {
-        val control = staged
-        val taken = control != null && loop.submit { pass -> action(control, pass) }
-        if (!taken) notLeading(replica.status(clock()).leader)
-    }
+    fun submitStaged(action: (StagedControl, Pass) -> Unit, notLeading: (HostId?) -> Unit) =
+        onControl {
+            val control = staged
+            val taken = control != null && loop.submit { pass -> action(control, pass) }
+            if (!taken) notLeading(replica.status(clock()).leader)
+        }
 
     /** The committed state; to be read on the control thread only. */
     val committed: CellState get() = loop.committed
--- a/src/main/kotlin/dev/jackdawdale/outgoing/HttpCaller.kt
+++ b/src/main/kotlin/dev/jackdawdale/outgoing/HttpCaller.kt
@@ -61,10 +61,7 @@
  * Makes HTTP/1.1 calls over kept connections, one call at a time on each. All state is touched on
  * one event loop; results arrive there.
  */
-internal class HttpCaller(
-    private val settings: CallerSettings,
-    group: EventLoopGroup
-) {
+internal class HttpCaller(private val settings: CallerSettings, group: EventLoopGroup) {
     private val loop = group.next()
     private val pools = HashMap<String, Pool>()
     private val bootstrap = Bootstrap()
--- a/src/main/kotlin/dev/jackdawdale/platform/CallerRoutes.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/CallerRoutes.kt
@@ -76,7 +76,11 @@
     private fun answer(reply: Reply): HttpResult = when (reply) {
         is Reply.Staged -> answer(reply.reply)
         Reply.LeadershipLost -> text(UNKNOWN_OUTCOME, "no answer from the leader in time")
-        is Reply.Refused -> text(UNAVAILABLE, reason(reply.refusal), retryAfterMs = MS_PER_S.toLong())
+        is Reply.Refused -> text(
+            UNAVAILABLE,
+            reason(reply.refusal),
+            retryAfterMs = MS_PER_S.toLong()
+        )
         else -> text(UNKNOWN_OUTCOME, "unexpected reply ${reply::class.simpleName}")
     }
 
@@ -93,10 +97,7 @@
     }
 }
 
-private fun json(
-    status: Int,
-    build: JsonObjectBuilder.() -> Unit
-): HttpResult {
+private fun json(status: Int, build: JsonObjectBuilder.() -> Unit): HttpResult {
     val body = buildJsonObject(build).toString().encodeToByteArray()
     return HttpResult(status, JSON_TYPE, body)
 }
--- a/src/main/kotlin/dev/jackdawdale/platform/DemoCommand.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/DemoCommand.kt
@@ -44,6 +44,7 @@
         "Runs one job through a process of the platform and stand-in workers on loopback.",
         "The build uses it to archive the classes that a start needs."
     ],
+    footer = ["", "Example: jackdawdale platform-demo"],
     mixinStandardHelpOptions = true
 )
 internal class DemoCommand : Callable<Int> {
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformClient.kt
@@ -131,7 +131,8 @@
         onResult: (CallOutcome) -> Unit
     ) {
         val headers = mapOf("Expect-Instance" to worker.workerId)
-        val call = OutgoingCall("POST", path, body.toString().encodeToByteArray(), timeoutMs, headers)
+        val call =
+            OutgoingCall("POST", path, body.toString().encodeToByteArray(), timeoutMs, headers)
         http.call(worker.address, call, onResult)
     }
 
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformCommand.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformCommand.kt
@@ -17,6 +17,7 @@
         "Runs a process on the users' platform until SIGTERM.",
         "The settings file is the one that the variable $SETTINGS_VARIABLE names."
     ],
+    footer = ["", "Example: $SETTINGS_VARIABLE=/etc/jackdawdale/local.json jackdawdale platform"],
     mixinStandardHelpOptions = true
 )
 internal class PlatformCommand : Callable<Int> {
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -52,7 +52,9 @@
 /** A connection may fall silent without an error; it is replaced within the election timeout. */
 private const val PEER_HEARTBEAT_MS = 200L
 private const val PEER_SILENCE_MS = 700L
-private const val SESSION_SILENCE_MS = 1_100L
+private const val SESSION_SILENCE_MS = 700L
+private const val CONFIGURATION_EVERY_MS = 200L
+private const val CONNECT_TIMEOUT_MS = 300L
 
 /** Callers wait 3 s for an answer; a new leader has to stand well before that. */
 private const val ELECTION_TIMEOUT_MS = 600L
@@ -98,6 +100,7 @@
             replicaSettings(),
             hostSettings.forControl().copy(
                 quorumFreshMs = pushSettings.quorumFreshMs,
+                configurationIntervalMs = CONFIGURATION_EVERY_MS,
                 maxBatchesInFlight = 1,
                 confirmEveryMs = CONFIRM_EVERY_MS
             ),
@@ -202,6 +205,7 @@
             FrameClock()
         ).copy(
             resolve = { PeerAddress(it.value, settings.peerPort) },
+            connectTimeoutMs = CONNECT_TIMEOUT_MS,
             heartbeatMs = PEER_HEARTBEAT_MS,
             silenceTimeoutMs = PEER_SILENCE_MS,
             sessionSilenceMs = SESSION_SILENCE_MS,
--- a/src/main/kotlin/dev/jackdawdale/platform/WireJson.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireJson.kt
@@ -10,16 +10,17 @@
 import kotlinx.serialization.json.longOrNull
 
 /** A body that does not hold what it should; [problem] names the field. */
-internal class MalformedBody(val problem: String) : Exception(problem, null, false, false)
+internal class MalformedBody(val problem: String, cause: Throwable? = null) :
+    Exception(problem, cause, false, false)
 
 /** Decodes the bytes of a body. Throws [MalformedBody] when they are not a JSON object. */
 internal fun wireObject(bytes: ByteArray): JsonObject {
     val element = try {
         Json.parseToJsonElement(bytes.decodeToString(throwOnInvalidSequence = true))
     } catch (e: IllegalArgumentException) {
-        throw MalformedBody("not JSON: ${e.message.orEmpty().lineSequence().first()}")
-    } catch (_: CharacterCodingException) {
-        throw MalformedBody("not UTF-8")
+        throw MalformedBody("not JSON: ${e.message.orEmpty().lineSequence().first()}", e)
+    } catch (e: CharacterCodingException) {
+        throw MalformedBody("not UTF-8", e)
     }
     return element as? JsonObject ?: throw MalformedBody("not a JSON object")
 }
--- a/src/main/kotlin/dev/jackdawdale/push/ChooseWorkers.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/ChooseWorkers.kt
@@ -67,16 +67,13 @@
     return chosen
 }
 
-private fun preference(
-    spec: StepSpec,
-    task: WaitingTask,
-    open: List<WorkerRoom>
-): Comparator<Int> = compareBy(
-    { open[it].workerId in task.failedOn },
-    { open[it].suspect },
-    { spec.dataRack.isNotEmpty() && spec.dataRack !in open[it].labels },
-    { open[it].free.cpuMillis }
-)
+private fun preference(spec: StepSpec, task: WaitingTask, open: List<WorkerRoom>): Comparator<Int> =
+    compareBy(
+        { open[it].workerId in task.failedOn },
+        { open[it].suspect },
+        { spec.dataRack.isNotEmpty() && spec.dataRack !in open[it].labels },
+        { open[it].free.cpuMillis }
+    )
 
 private fun WorkerRoom.takes(spec: StepSpec, need: Resources): Boolean =
     need.fitsInto(free) && (spec.maxPerWorker <= 0 || ofStep < spec.maxPerWorker)
--- a/src/main/kotlin/dev/jackdawdale/push/RunProgress.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunProgress.kt
@@ -8,6 +8,7 @@
  * @property estimatedMs declared run time, or null when the job declares none
  * @property percent share of its work that is done, as its worker lists it
  * @property resumed whether it went on from a checkpoint, so that [percent] tells nothing of speed
+ * @property isFirst whether no run of the task came before; a second move for speed would not help
  * @property sinceMs when the worker confirmed it
  * @property progressMs when [percent] changed last
  * @property asOfMs when the worker listed [percent]
@@ -19,6 +20,7 @@
     val resumed: Boolean,
     val gang: Boolean,
     val checkpoints: Boolean,
+    val isFirst: Boolean,
     val sinceMs: Long,
     val progressMs: Long,
     val asOfMs: Long
@@ -35,11 +37,11 @@
 private const val SPEED_KNOWN_AFTER_MS = 400L
 private const val SPEED_KNOWN_PERCENT = 5
 
-/** Declared run times are off by less than this, a worker in trouble by more. */
-private const val SLOW_FACTOR = 3.0
+/** A worker in trouble takes at least this many times as long as declared. */
+private const val SLOW_FACTOR = 3.5
 
-/** One run alone may be a straggler by its own nature. */
-private const val MIN_SLOW_RUNS = 3
+/** The runs of one job share its wrong estimate, so several jobs have to agree. */
+private const val MIN_SLOW_JOBS = 3
 
 /** Advice, commit and start of the next run. */
 private const val MOVE_COST_MS = 300L
@@ -52,7 +54,8 @@
  * Finds the runs on one worker that stand still or crawl.
  *
  * Answers a load in which some workers hang or turn slow while they report themselves healthy: a
- * slow worker is told from slow work by comparing several runs with their declared times.
+ * slow worker is told from slow work by comparing the runs of several jobs with their declared
+ * times.
  */
 internal fun decideMoves(runs: List<RunProgress>, stalledMs: Long, nowMs: Long): Moves {
     val stalled = runs.filter { run ->
@@ -65,10 +68,12 @@
 }
 
 private fun slowRuns(runs: List<RunProgress>): List<RunProgress> {
-    val factors = runs.filter { !it.gang }.mapNotNull { it.slowness() }.sorted()
-    val isSlow = factors.size >= MIN_SLOW_RUNS && factors[(factors.size - 1) / 2] > SLOW_FACTOR
+    val factors = runs.filter { !it.gang }.groupBy { it.taskId.stepId.jobId }.values
+        .mapNotNull { ofJob -> ofJob.mapNotNull { it.slowness() }.minOrNull() }
+        .sorted()
+    val isSlow = factors.size >= MIN_SLOW_JOBS && factors[(factors.size - 1) / 2] > SLOW_FACTOR
     if (!isSlow) return emptyList()
-    return runs.filter { run ->
+    return runs.filter { it.isFirst }.filter { run ->
         val estimateMs = run.estimatedMs ?: return@filter false
         val leftMs = run.leftMs() ?: return@filter false
         val elsewhereMs = if (run.checkpoints) {
--- a/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
@@ -96,7 +96,8 @@
     ): StagedReply {
         val known = pass.state.staged.job(jobId)
         if (known != null) return StagedReply.Job(jobId, known.progress)
-        val spec = StagedJobSpec(jobId, queue.name, command.payload, command.steps, command.schedule)
+        val spec =
+            StagedJobSpec(jobId, queue.name, command.payload, command.steps, command.schedule)
         problemOf(spec)?.let { return StagedReply.Malformed(it) }
         leading.emit(pass, StagedEvent.JobAccepted(spec, queue))
         decisions.line(pass.nowMs, jobId) {
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -0,0 +1,181 @@
+package dev.jackdawdale.push
+
+import dev.jackdawdale.control.Pass
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.Resources
+import dev.jackdawdale.model.minus
+import dev.jackdawdale.model.plus
+import dev.jackdawdale.staged.AdviceResult
+import dev.jackdawdale.staged.PlacedTask
+import dev.jackdawdale.staged.RunPlacement
+import dev.jackdawdale.staged.StageTaskId
+import dev.jackdawdale.staged.StagedEvent
+import dev.jackdawdale.staged.StagedState
+import dev.jackdawdale.staged.counted
+import dev.jackdawdale.staged.job
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("dev.jackdawdale.push")
+
+/** Decides which waiting steps get which workers. */
+internal class StepPlacement(private val context: LeaderContext) {
+    private val ready = HashMap<String, List<ReadyStep>>()
+    private val notBeforeMs = HashMap<String, Long>()
+
+    /** Carries out what was placed; set once, as orders and placements need each other. */
+    lateinit var orders: RunOrders
+
+    val waitingSteps: Int get() = ready.values.sumOf { it.size }
+
+    fun pauseJob(jobId: String, untilMs: Long) {
+        notBeforeMs[jobId] = untilMs
+    }
+
+    /** Looks again at which steps of the job may start. */
+    fun refresh(state: StagedState, jobId: String) {
+        val job = state.active[jobId]
+        val steps = job?.let(::readySteps).orEmpty()
+        if (job == null || job.outcome != null) {
+            ready[jobId].orEmpty().forEach { context.desk.forget(it.id) }
+            notBeforeMs.remove(jobId)
+        }
+        if (steps.isEmpty()) ready.remove(jobId) else ready[jobId] = steps
+    }
+
+    /** Places what waits, the most urgent first, and asks for advice where it is missing. */
+    fun place(pass: Pass) {
+        val nowMs = pass.nowMs
+        val waiting = ready.values.flatten()
+            .filter { (notBeforeMs[it.id.jobId] ?: 0) <= nowMs }
+            .sortedBy { it.rank(nowMs) }
+        context.desk.beginPass()
+        val reserved = Reserved()
+        for (step in waiting) place(pass, step, reserved)
+        context.desk.dispatch(context.around.callingHosts(), nowMs)
+    }
+
+    private fun place(pass: Pass, step: ReadyStep, reserved: Reserved) {
+        val nowMs = pass.nowMs
+        val usable = context.links.values.filter {
+            it.worker.service == step.job.terms.service && it.isUsable(nowMs)
+        }
+        val terms = step.job.terms.advice
+        if (terms != null && !context.desk.isAnswered(step.id)) return want(step, usable, nowMs)
+        val allowed = usable.filter { terms == null || context.desk.allows(step.id, it.candidate) }
+        val rooms = allowed.map { it.room(step, reserved, nowMs) }
+        val tasks = step.waiting.map { WaitingTask(it, step.step.tasks[it].failedOn) }
+        val chosen = chooseWorkers(step.spec, tasks, rooms)
+        val unticketed = chosen.filterValues { !hasTicket(step, it, nowMs) }
+        if (unticketed.isNotEmpty()) {
+            want(step, unticketed.values.distinct().map(context.links::getValue), nowMs)
+        } else if (chosen.size < tasks.size) {
+            want(step, usable.filter { !context.desk.wasAsked(step.id, it.candidate) }, nowMs)
+        }
+        if (step.spec.gang) {
+            if (chosen.isNotEmpty() && unticketed.isEmpty()) {
+                commitPlacement(pass, step, chosen)
+            } else if (chosen.isNotEmpty()) {
+                reserved.add(chosen.values, step.spec.counted)
+            } else if (step.latestStartMs - nowMs < RESERVE_BEFORE_MS) {
+                val partial = fillWorkers(step.spec, tasks, rooms)
+                reserved.add(partial.values, step.spec.counted)
+            }
+        } else {
+            reserved.add(unticketed.values, step.spec.counted)
+            val placed = chosen - unticketed.keys
+            if (placed.isNotEmpty()) commitPlacement(pass, step, placed)
+        }
+    }
+
+    private fun want(step: ReadyStep, workers: List<WorkerLink>, nowMs: Long) {
+        val terms = step.job.terms.advice ?: return
+        context.desk.want(step.id, terms, workers.map { it.candidate }, step.rank(nowMs), nowMs)
+    }
+
+    private fun hasTicket(step: ReadyStep, workerId: String, nowMs: Long): Boolean {
+        if (step.job.terms.advice == null) return true
+        val boot = context.links.getValue(workerId).worker.boot
+        return context.desk.ticket(step.id, workerId, boot, nowMs + TICKET_MARGIN_MS) != null
+    }
+
+    private val WorkerLink.candidate: Candidate get() = Candidate(worker.workerId, worker.boot)
+
+    private fun WorkerLink.room(step: ReadyStep, reserved: Reserved, nowMs: Long) = WorkerRoom(
+        workerId = worker.workerId,
+        rack = worker.labels.getOrElse(1) { "" },
+        labels = worker.labels,
+        free = free - reserved.of(worker.workerId),
+        suspect = suspectUntilMs > nowMs,
+        ofStep = if (step.spec.maxPerWorker > 0) countOf(step.id) else 0
+    )
+
+    private fun commitPlacement(pass: Pass, step: ReadyStep, chosen: Map<Int, String>) {
+        val job = step.job
+        val run = step.step.tasks.maxOf { it.lastRun } + 1
+        val placed = chosen.map { (index, workerId) ->
+            PlacedTask(index, workerId, context.links.getValue(workerId).worker.boot)
+        }
+        context.emit(pass, StagedEvent.TasksPlaced(step.id, run, context.term, placed))
+        context.decisions.line(pass.nowMs, job.spec.jobId) {
+            val leftMs = step.latestStartMs - pass.nowMs
+            "places step ${step.id.step} run $run term ${context.term} on $chosen, " +
+                "$leftMs ms before it would be late"
+        }
+        for ((index, workerId) in chosen) {
+            val link = context.links.getValue(workerId)
+            val taskId = StageTaskId(step.id, index)
+            val placement = RunPlacement(workerId, link.worker.boot, run, context.term, pass.nowMs)
+            link.hold(
+                HeldRun(
+                    taskId,
+                    placement,
+                    step.spec.counted,
+                    StartState.Unsent,
+                    resumed = step.step.tasks[index].checkpoint.isNotEmpty()
+                )
+            )
+            val ticket = context.desk.ticket(step.id, workerId, link.worker.boot, pass.nowMs)
+            val order = StartDraft(
+                job.spec.payload,
+                step.step.tasks[index].checkpoint,
+                ticket?.text.orEmpty()
+            )
+            pass.whenDurable { orders.sendStart(link, taskId, run, order) }
+        }
+    }
+
+    fun adviceAnswered(pass: Pass, hostId: HostId, callId: Long, result: AdviceResult) {
+        if (result !is AdviceResult.Given) {
+            log.warn(
+                "advice call {} at {}: {}",
+                callId,
+                hostId,
+                result
+            )
+        }
+        val call = context.desk.answered(hostId, callId, result, pass.nowMs) ?: return
+        context.decisions.line(pass.nowMs, call.stepId.jobId) {
+            val given = (result as? AdviceResult.Given)?.tickets?.size ?: 0
+            val tookMs = pass.nowMs - call.sentAtMs
+            "advice for step ${call.stepId.step}: $given of ${call.asked.size} workers, $tookMs ms"
+        }
+    }
+
+    private companion object {
+        const val TICKET_MARGIN_MS = 150L
+
+        /** A gang without room reserves what it can get this long before it would be late. */
+        const val RESERVE_BEFORE_MS = 4_000L
+    }
+}
+
+/** Room that steps of higher rank keep for themselves within one pass. */
+private class Reserved {
+    private val byWorker = HashMap<String, Resources>()
+
+    fun of(workerId: String): Resources = byWorker[workerId] ?: Resources()
+
+    fun add(workerIds: Collection<String>, each: Resources) = workerIds.forEach {
+        byWorker[it] = of(it) + each
+    }
+}
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerLink.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerLink.kt
@@ -50,9 +50,12 @@
     val free: Resources
         get() = Resources(worker.cpuMillis, worker.memoryMib, worker.accelerators) - used
 
-    fun isUsable(nowMs: Long): Boolean =
-        synced && reachable && !leaving && !worker.draining && clockMs != null &&
-            leasedUntilMs > nowMs
+    fun isUsable(nowMs: Long): Boolean = synced &&
+        reachable &&
+        !leaving &&
+        !worker.draining &&
+        clockMs != null &&
+        leasedUntilMs > nowMs
 
     fun readClock(workerClockMs: Long, nowMs: Long) {
         clockMs = workerClockMs
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerMembers.kt
@@ -0,0 +1,96 @@
+package dev.jackdawdale.push
+
+import dev.jackdawdale.control.Pass
+import dev.jackdawdale.staged.PushWorker
+import dev.jackdawdale.staged.RunResult
+import dev.jackdawdale.staged.StagedEvent
+import dev.jackdawdale.staged.held
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("dev.jackdawdale.push")
+
+/** The workers of a leader: who has joined, who has left, who is gone. */
+internal class WorkerMembers(private val context: LeaderContext) {
+    /** A worker's report of itself; [onDurable] runs once what it says is durable. */
+    fun workerReported(pass: Pass, report: WorkerReport, onDurable: () -> Unit) {
+        val worker = report.worker
+        val link = context.links[worker.workerId]
+        val known = link?.worker
+        val nowMs = pass.nowMs
+        when {
+            isOvertaken(worker) -> Unit
+            known == null -> join(pass, report)
+            worker.boot < known.boot -> Unit
+            worker.boot > known.boot -> {
+                loseWorker(pass, link, "a new boot ${worker.boot} reported itself")
+                join(pass, report)
+            }
+            report.sequence <= link.sequence -> Unit
+            else -> {
+                link.heardMs = nowMs
+                link.sequence = report.sequence
+                if (known != worker) {
+                    link.worker = worker
+                    context.emit(pass, StagedEvent.WorkerReported(worker))
+                }
+            }
+        }
+        pass.whenDurable(onDurable)
+    }
+
+    /** A process that started later holds the same address. */
+    private fun isOvertaken(worker: PushWorker): Boolean = context.links.values.any {
+        it.worker.address == worker.address && it.worker.boot > worker.boot
+    }
+
+    private fun join(pass: Pass, report: WorkerReport) {
+        val worker = report.worker
+        context.links.values.filter {
+            it.worker.address == worker.address && it.worker.boot < worker.boot
+        }.forEach { loseWorker(pass, it, "its address belongs to ${worker.workerId}") }
+        val link = WorkerLink(worker, pass.nowMs + context.settings.lapseMs, pass.nowMs)
+        link.sequence = report.sequence
+        context.links[worker.workerId] = link
+        context.emit(pass, StagedEvent.WorkerReported(worker))
+        log.info("worker {} boot {} joins at {}", worker.workerId, worker.boot, worker.address)
+    }
+
+    /** A worker says goodbye; its runs are settled once it no longer answers. */
+    fun workerLeaves(pass: Pass, workerId: String, onDurable: () -> Unit) {
+        val link = context.links[workerId]
+        if (link != null && !link.leaving) {
+            link.leaving = true
+            val draining = link.worker.copy(draining = true)
+            if (link.worker != draining) {
+                link.worker = draining
+                context.emit(pass, StagedEvent.WorkerReported(draining))
+            }
+        }
+        pass.whenDurable(onDurable)
+    }
+
+    /** Everything on the worker has ended. */
+    fun loseWorker(pass: Pass, link: WorkerLink, reason: String) {
+        val worker = link.worker
+        log.info(
+            "worker {} boot {} is gone with {} runs: {}",
+            worker.workerId,
+            worker.boot,
+            link.held.size,
+            reason
+        )
+        interruptAll(pass, link)
+        context.links.remove(worker.workerId, link)
+        context.emit(pass, StagedEvent.WorkerLeft(worker.workerId, worker.boot))
+    }
+
+    fun interruptAll(pass: Pass, link: WorkerLink) {
+        link.held.values.toList().forEach { run ->
+            val result = RunResult.INTERRUPTED
+            context.emit(
+                pass,
+                StagedEvent.RunEnded(run.taskId, run.placement.run, result, run.checkpoint)
+            )
+        }
+    }
+}
--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -259,7 +259,8 @@
             HelloReply(state.self, settings.hostId, state.isBlank, settings.mayFormCell)
         callbacks.send(from, reply)
         val known = settings.admitsUnlisted ||
-            from in settings.hosts || state.membership.members.any { it.hostId == from }
+            from in settings.hosts ||
+            state.membership.members.any { it.hostId == from }
         if (state.ready && known) run(RaftInput.Join(message.from, from))
     }
 
--- a/src/main/kotlin/dev/jackdawdale/staged/ApplyStaged.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/ApplyStaged.kt
@@ -132,7 +132,17 @@
         failedOn = if (failed) task.failedOn + placement.workerId else task.failedOn,
         checkpoint = event.checkpoint.ifEmpty { task.checkpoint }
     )
-    val changed = copy(tasks = tasks.mapIndexed { i, t -> if (i == event.taskId.index) next else t })
+    val changed = copy(
+        tasks = tasks.mapIndexed { i, t ->
+            if (i ==
+                event.taskId.index
+            ) {
+                next
+            } else {
+                t
+            }
+        }
+    )
     return if (spec.gang) changed.endGangRun(event, failed, succeeded) else changed
 }
 
--- a/src/main/kotlin/dev/jackdawdale/staged/QueueSpec.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/QueueSpec.kt
@@ -58,5 +58,4 @@
     .maxByOrNull { it.pathPrefix.length }
 
 /** The job id in [path], or null when the path names the queue itself. */
-fun QueueSpec.jobIdIn(path: String): String? =
-    path.substring(pathPrefix.length).ifEmpty { null }
+fun QueueSpec.jobIdIn(path: String): String? = path.substring(pathPrefix.length).ifEmpty { null }
--- a/src/main/kotlin/dev/jackdawdale/staged/StagedJobSpec.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/StagedJobSpec.kt
@@ -74,6 +74,5 @@
 /** Names one task of a staged job. */
 @Serializable
 data class StageTaskId(val stepId: StepId, val index: Int) {
-    override fun toString(): String =
-        "${stepId.jobId}.${stepId.occurrence}.${stepId.step}.$index"
+    override fun toString(): String = "${stepId.jobId}.${stepId.occurrence}.${stepId.step}.$index"
 }
--- a/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
@@ -18,6 +18,9 @@
 private val log = LogManager.getLogger("dev.jackdawdale.wire")
 private const val LEADERSHIP_LOST_RETRY_MS = 100L
 
+/** A silent session is noticed within this part of its timeout. */
+private const val CHECKS_IN_SILENCE = 4
+
 /** Default time that a call waits for its reply, in milliseconds. */
 internal const val CALL_TIMEOUT_MS = 10_000L
 
@@ -45,7 +48,11 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val calls = PendingCalls()
-    private val search = LeaderSearch(settings.controlHosts.keys.toList()) { settings.addressOf(it) != null }
+    private val search =
+        LeaderSearch(settings.controlHosts.keys.toList()) {
+            settings.addressOf(it) !=
+                null
+        }
     private val seenTerm = AtomicLong()
     private val sessionsOpened = AtomicLong()
 
@@ -132,7 +139,7 @@
             when (val end = runSession(hostId)) {
                 is SessionEnd.Redirected -> search.follow(end.leader)
                 is SessionEnd.Lost -> {
-                    if (end.wasOpen) search.follow(hostId)
+                    if (end.wasOpen && !end.silent) search.follow(hostId)
                     if (end.wasOpen) backOff.reset()
                 }
             }
@@ -182,12 +189,13 @@
             session = null
             sessionLost(opening)
         }
-        return opening.redirect ?: SessionEnd.Lost(opening.accepted)
+        val silent = opening.silentMs() > settings.silenceTimeoutMs / 2
+        return opening.redirect ?: SessionEnd.Lost(opening.accepted, silent)
     }
 
     private suspend fun keepAlive(current: EntrySession) {
         while (true) {
-            delay(SESSION_HEARTBEAT_MS)
+            delay(minOf(SESSION_HEARTBEAT_MS, settings.silenceTimeoutMs / CHECKS_IN_SILENCE))
             current.link.send(EntryMessage.SessionHeartbeat(draining))
             if (current.silentMs() > settings.silenceTimeoutMs) {
                 current.link.close("no message from the control thread")
--- a/src/main/kotlin/dev/jackdawdale/wire/EntrySession.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/EntrySession.kt
@@ -7,7 +7,8 @@
 internal sealed interface SessionEnd {
     data class Redirected(val leader: HostId?) : SessionEnd
 
-    data class Lost(val wasOpen: Boolean) : SessionEnd
+    /** @property silent nothing came any more, so the host may still not answer */
+    data class Lost(val wasOpen: Boolean, val silent: Boolean = false) : SessionEnd
 }
 
 /** One connection of an entry host with a control host. */
