--- a/src/main/kotlin/dev/jackdawdale/entry/HttpConnection.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpConnection.kt
@@ -3,9 +3,11 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -31,6 +33,9 @@
 private val log = LogManager.getLogger("dev.jackdawdale.entry")
 private const val MAX_PIPELINED = 16
 
+/** Time for a client to read the answer to a request that was not read to its end. */
+private const val LINGER_MS = 1_000L
+
 /**
  * One client connection. Requests are answered one after the other in the order of their arrival.
  * A call goes on when its client disconnects.
@@ -99,7 +104,7 @@
         if (problem != null || message !is FullHttpRequest) {
             ReferenceCountUtil.release(message)
             val error = problem ?: badRequest("malformed_http", "not an HTTP request")
-            return respond(ctx, error.toResult(), keepAlive = false)
+            return respond(ctx, error.toResult(), keepAlive = false, unread = true)
         }
         val keepAlive = HttpUtil.isKeepAlive(message)
         val head = message.method().name() == "HEAD"
@@ -158,7 +163,8 @@
         ctx: ChannelHandlerContext,
         result: HttpResult,
         keepAlive: Boolean,
-        head: Boolean = false
+        head: Boolean = false,
+        unread: Boolean = false
     ) {
         val response = DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
@@ -177,7 +183,19 @@
         } else {
             closing = true
             headers[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
-            ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+            val written = ctx.writeAndFlush(response)
+            if (unread) linger(ctx, written) else written.addListener(ChannelFutureListener.CLOSE)
+        }
+    }
+
+    /**
+     * Reads on until the client has seen the answer. Closing with unread bytes resets the
+     * connection, and the client may then lose the answer.
+     */
+    private fun linger(ctx: ChannelHandlerContext, written: ChannelFuture) {
+        written.addListener {
+            (ctx.channel() as? DuplexChannel)?.shutdownOutput()
+            closeAfter(ctx, LINGER_MS)
         }
     }
 
--- a/src/main/kotlin/dev/jackdawdale/platform/CallerRoutes.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/CallerRoutes.kt
@@ -9,6 +9,7 @@
 import dev.jackdawdale.staged.StagedCommand
 import dev.jackdawdale.staged.StagedQuery
 import dev.jackdawdale.staged.StagedReply
+import dev.jackdawdale.telemetry.DecisionLog
 import dev.jackdawdale.wire.Command
 import dev.jackdawdale.wire.ControlClient
 import dev.jackdawdale.wire.Query
@@ -16,6 +17,7 @@
 import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import org.apache.logging.log4j.LogManager
 
 private const val DEADLINE_HEADER = "Deadline-Ms"
 private const val DEFAULT_DEADLINE_MS = 3_000L
@@ -34,12 +36,28 @@
 private const val UNAVAILABLE = 503
 private const val UNKNOWN_OUTCOME = 504
 
+private val log = LogManager.getLogger("dev.jackdawdale.platform")
+
 /** Translates the calls of callers into commands and questions for the leader. */
-internal class CallerRoutes(private val client: ControlClient) {
+internal class CallerRoutes(private val client: ControlClient, private val clock: () -> Long) {
+    private val decisions = DecisionLog(log)
+
     /** Takes every call that arrives at the callers' address. */
     val route = Route("*", "*", Access.ANYONE, ::handle)
 
     private suspend fun handle(call: HttpCall): HttpResult {
+        val receivedMs = clock()
+        val result = answer(call)
+        val nowMs = clock()
+        decisions.line(nowMs, call.rawPath.substringAfterLast('/')) {
+            val session = if (client.isOpen) "term ${client.highestTerm}" else "no session"
+            val tookMs = nowMs - receivedMs
+            "${call.method} ${call.rawPath}: ${result.status} after $tookMs ms, $session"
+        }
+        return result
+    }
+
+    private suspend fun answer(call: HttpCall): HttpResult {
         val host = call.headers["Host"].orEmpty().substringBefore(':')
         val path = call.rawPath
         val timeoutMs = call.timeoutMs()
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformCommand.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformCommand.kt
@@ -2,9 +2,12 @@
 
 import dev.jackdawdale.cli.ExitCode
 import dev.jackdawdale.cli.runUntilStopped
+import dev.jackdawdale.telemetry.Logging
+import dev.jackdawdale.telemetry.configureLogging
 import java.io.IOException
 import java.nio.file.Path
 import java.util.concurrent.Callable
+import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 import picocli.CommandLine.Command
 import sun.misc.Signal
@@ -31,7 +34,9 @@
         } catch (e: IOException) {
             return refuse("$file cannot be read: ${e.message}")
         }
-        val host = PlatformHost(settings)
+        val incarnation = System.currentTimeMillis()
+        configureLogging(Logging(true, Level.INFO, settings.hostName, incarnation))
+        val host = PlatformHost(settings, incarnation)
         // Without a handler the JVM ends on SIGHUP.
         Signal.handle(Signal("HUP")) { reload(host, Path.of(file)) }
         runUntilStopped(host::stop, host::start)
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -25,8 +25,6 @@
 import dev.jackdawdale.settings.Settings
 import dev.jackdawdale.settings.defaultSettings
 import dev.jackdawdale.storage.StorageError
-import dev.jackdawdale.telemetry.Logging
-import dev.jackdawdale.telemetry.configureLogging
 import dev.jackdawdale.wire.ControlClient
 import dev.jackdawdale.wire.ControlClientCallbacks
 import dev.jackdawdale.wire.ControlMessage
@@ -38,7 +36,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.runBlocking
-import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.platform")
@@ -76,15 +73,13 @@
 private const val NOT_READY = 503
 
 /** One process on the platform: callers' traffic, control, or both. */
-internal class PlatformHost(private val settings: PlatformSettings) {
+internal class PlatformHost(
+    private val settings: PlatformSettings,
+    private val incarnation: Long = System.currentTimeMillis()
+) {
     private val clock = steadyClock()
-    private val incarnation = System.currentTimeMillis()
     private val pushSettings = PushSettings()
 
-    init {
-        configureLogging(Logging(true, Level.INFO, settings.hostName, incarnation))
-    }
-
     private val hostSettings = settings.toHostSettings()
     private val outgoing = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val client =
@@ -129,7 +124,7 @@
             httpServer(address.toHttp(), routes)
         },
         settings.callers?.let { address ->
-            val routes = CallerRoutes(checkNotNull(session))
+            val routes = CallerRoutes(checkNotNull(session), clock)
             httpServer(address.toHttp(), emptyList(), fallback = routes.route)
         }
     )
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/entry/LingeringCloseTest.kt
@@ -0,0 +1,32 @@
+package dev.jackdawdale.entry
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.string.shouldStartWith
+import java.net.Socket
+
+private const val BOUND_BYTES = 1_024
+private const val BODY_BYTES = 4 * 1024 * 1024
+private const val PIECE_BYTES = 16 * 1024
+
+class LingeringCloseTest :
+    FunSpec({
+        test("a client that is still sending its body does not lose the answer to it") {
+            val settings = HttpSettings(
+                maxBodyBytes = BOUND_BYTES,
+                authMode = AuthMode.PRIVATE_NETWORK
+            )
+            val route = Route("POST", "/", Access.ANYONE) { error("must not be called") }
+            httpServer(settings, listOf(route)).use { server ->
+                server.start()
+                Socket("127.0.0.1", server.port).use { client ->
+                    val head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: $BODY_BYTES\r\n\r\n"
+                    client.getOutputStream().write(head.encodeToByteArray())
+                    repeat(BODY_BYTES / PIECE_BYTES) {
+                        client.getOutputStream().write(ByteArray(PIECE_BYTES))
+                    }
+                    client.getInputStream().bufferedReader().readLine() shouldStartWith
+                        "HTTP/1.1 413"
+                }
+            }
+        }
+    })
