Stop unwanted runs after a leader change; drop advice about ended jobs

Cause 1: a new leader looked at the runs of cancelled jobs and broken gangs only when something else happened to the job. Cause 2: the advice desk kept the steps of jobs that had ended while nothing of them waited, and went over them in each pass.

--- a/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
@@ -71,8 +71,9 @@
         steps[stepId]?.tickets?.remove(workerId)
     }
 
-    fun forget(stepId: StepId) {
-        steps.remove(stepId)
+    /** Drops what is known of the steps of an ended job. */
+    fun forget(jobId: String) {
+        steps.keys.removeIf { it.jobId == jobId }
     }
 
     /**
--- a/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
@@ -67,13 +67,11 @@
             is StartResult.Refused -> refused(pass, link, start, result.refusal)
             StartResult.NotSent -> {
                 link.reachable = false
-                // An earlier try of the same order may have been sent.
-                if (order.tries ==
-                    1
-                ) {
-                    neverRan(pass, start)
-                } else {
+                val mayHaveBeenSentBefore = order.tries > 1
+                if (mayHaveBeenSentBefore) {
                     context.wantStop(start.taskId, run.placement)
+                } else {
+                    neverRan(pass, start)
                 }
             }
             StartResult.OtherBoot -> members.loseWorker(pass, link, "another boot refused an order")
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -56,6 +56,7 @@
                 linkFor(placement, lapsedMs, nowMs)?.hold(run)
             }
             placement.refresh(state, job.spec.jobId)
+            stopUnwanted(state, job.spec.jobId)
         }
     }
 
@@ -88,7 +89,7 @@
             is StagedEvent.OccurrenceBegun -> placement.refresh(pass.state.staged, event.jobId)
             is StagedEvent.JobCancelled -> {
                 placement.refresh(pass.state.staged, event.jobId)
-                stopUnwanted(pass, event.jobId)
+                stopUnwanted(pass.state.staged, event.jobId)
             }
             is StagedEvent.TasksPlaced -> placement.refresh(pass.state.staged, event.stepId.jobId)
             is StagedEvent.RunEnded -> {
@@ -96,7 +97,7 @@
                     link.runOf(event.taskId, event.run)?.let { link.release(it.taskId) }
                 }
                 placement.refresh(pass.state.staged, event.taskId.stepId.jobId)
-                stopUnwanted(pass, event.taskId.stepId.jobId)
+                stopUnwanted(pass.state.staged, event.taskId.stepId.jobId)
             }
             else -> Unit
         }
@@ -117,10 +118,10 @@
     }
 
     /** Stops the runs of a job that ended, and those of a gang that lost a member. */
-    private fun stopUnwanted(pass: Pass, jobId: String) {
-        val job = pass.state.staged.job(jobId) ?: return
+    private fun stopUnwanted(state: StagedState, jobId: String) {
+        val job = state.job(jobId) ?: return
         for ((taskId, placement) in job.held()) {
-            val task = pass.state.staged.task(taskId) ?: continue
+            val task = state.task(taskId) ?: continue
             val step = job.occurrences.first { it.number == taskId.stepId.occurrence }
                 .steps[taskId.stepId.step]
             val isBroken = job.spec.steps[taskId.stepId.step].gang &&
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -36,7 +36,7 @@
         val job = state.active[jobId]
         val steps = job?.let(::readySteps).orEmpty()
         if (job == null || job.outcome != null) {
-            ready[jobId].orEmpty().forEach { context.desk.forget(it.id) }
+            context.desk.forget(jobId)
             notBeforeMs.remove(jobId)
         }
         if (steps.isEmpty()) ready.remove(jobId) else ready[jobId] = steps
--- a/src/test/kotlin/dev/jackdawdale/entry/LingeringCloseTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/entry/LingeringCloseTest.kt
@@ -1,12 +1,16 @@
 package dev.jackdawdale.entry
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.string.shouldStartWith
 import java.net.Socket
+import kotlin.time.Duration.Companion.seconds
 
 private const val BOUND_BYTES = 1_024
-private const val BODY_BYTES = 4 * 1024 * 1024
+private const val PIECES = 20
 private const val PIECE_BYTES = 16 * 1024
+private const val BODY_BYTES = 4 * 1024 * 1024
 
 class LingeringCloseTest :
     FunSpec({
@@ -21,9 +25,12 @@
                 Socket("127.0.0.1", server.port).use { client ->
                     val head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: $BODY_BYTES\r\n\r\n"
                     client.getOutputStream().write(head.encodeToByteArray())
-                    repeat(BODY_BYTES / PIECE_BYTES) {
-                        client.getOutputStream().write(ByteArray(PIECE_BYTES))
+                    client.getOutputStream().write(ByteArray(BOUND_BYTES + 1))
+                    eventually(10.seconds) {
+                        client.getInputStream().available() shouldBeGreaterThan 0
                     }
+                    // On a connection that was reset these writes fail.
+                    repeat(PIECES) { client.getOutputStream().write(ByteArray(PIECE_BYTES)) }
                     client.getInputStream().bufferedReader().readLine() shouldStartWith
                         "HTTP/1.1 413"
                 }
--- a/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
@@ -66,6 +66,16 @@
             sent.calls.last().asked shouldBe listOf(Candidate("w1", 1))
         }
 
+        test("the advice about an ended job is dropped") {
+            val sent = Sent()
+            sent.desk.want(stepId("s"), shortTerms, workers, 0.0, 0)
+            sent.desk.dispatch(hosts, 0)
+            val call = sent.calls.single()
+            sent.desk.answered(call.hostId, call.callId, AdviceResult.Given(mapOf("w1" to "t")), 10)
+            sent.desk.forget("s")
+            sent.desk.isAnswered(stepId("s")) shouldBe false
+        }
+
         test("a call without an answer frees its host and is made again") {
             val sent = Sent()
             sent.desk.want(stepId("s"), shortTerms, workers, 0.0, 0)
