Share what stood twice, drop what nobody reads, and compute less in a placement pass

Found by reading the change. Twins: the address parser of EndpointPools and HttpCaller, the loopback cell of the demonstration and of the contract tests, answers and statuses of the adapter, the rack of a worker. Dead: the services of a configuration, AdviceDesk.isAsking, an unused argument. Repeated: the usable workers were filtered for each waiting step, and each end of a run looked at every worker. Two budgets of decision lines made the bound of a process twice what the docs say; it is one now. A port out of range is refused by the caller of workers as by that of endpoints, instead of an exception on its event loop.

--- a/src/main/kotlin/dev/jackdawdale/control/ControlExtension.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlExtension.kt
@@ -21,8 +21,6 @@
     val lostLeadership: () -> Unit = {},
     val decide: (Pass) -> Unit = {},
     val handle: (Pass, StagedCommand, (StagedReply) -> Unit) -> Unit = { _, _, _ -> },
-    val answer: (CellState, StagedQuery, nowMs: Long) -> StagedReply = { _, _, _ ->
-        StagedReply.NotConfigured
-    },
+    val answer: (CellState, StagedQuery) -> StagedReply = { _, _ -> StagedReply.NotConfigured },
     val adviceAnswered: (Pass, HostId, callId: Long, AdviceResult) -> Unit = { _, _, _, _ -> }
 )
--- a/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
@@ -314,7 +314,7 @@
 
     private fun answerQuery(call: CallContext, query: Query) {
         if (query is Query.Staged) {
-            return call.reply(Reply.Staged(extension.answer(committed, query.query, now())))
+            return call.reply(Reply.Staged(extension.answer(committed, query.query)))
         }
         view()?.answer(query, call::reply)
     }
--- a/src/main/kotlin/dev/jackdawdale/entry/EndpointPools.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/EndpointPools.kt
@@ -1,6 +1,7 @@
 package dev.jackdawdale.entry
 
 import dev.jackdawdale.model.EndpointId
+import dev.jackdawdale.outgoing.socketAddress
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
@@ -11,14 +12,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.util.NetUtil
-import java.net.InetAddress
-import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 
 private const val MAX_HEADER_BYTES = 16 * 1024
 private const val CHUNK_BYTES = 64 * 1024
-private const val MAX_PORT = 65_535
 
 /** Address of an endpoint process; another address is another process with its own connections. */
 private data class PoolKey(val endpointId: EndpointId, val address: String, val port: Int)
@@ -105,10 +102,3 @@
 
 private val Exchange.key: PoolKey
     get() = PoolKey(message.endpointId, message.address, message.port)
-
-/** The address without a name look-up, which would block the calling thread. */
-private fun socketAddress(address: String, port: Int): InetSocketAddress? {
-    val bytes = NetUtil.createByteArrayFromIpAddressString(address) ?: return null
-    if (port !in 1..MAX_PORT) return null
-    return InetSocketAddress(InetAddress.getByAddress(bytes), port)
-}
--- a/src/main/kotlin/dev/jackdawdale/outgoing/HttpCaller.kt
+++ b/src/main/kotlin/dev/jackdawdale/outgoing/HttpCaller.kt
@@ -238,11 +238,3 @@
     headers.forEach { (name, value) -> request.headers()[name] = value }
     return request
 }
-
-/** The address without a name look-up, which would block the event loop. */
-private fun socketAddress(address: String): InetSocketAddress? {
-    val host = address.substringBeforeLast(':', "")
-    val port = address.substringAfterLast(':').toIntOrNull() ?: return null
-    val bytes = io.netty.util.NetUtil.createByteArrayFromIpAddressString(host) ?: return null
-    return InetSocketAddress(java.net.InetAddress.getByAddress(bytes), port)
-}
--- a/src/main/kotlin/dev/jackdawdale/platform/CallerRoutes.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/CallerRoutes.kt
@@ -3,9 +3,7 @@
 import dev.jackdawdale.entry.Access
 import dev.jackdawdale.entry.HttpCall
 import dev.jackdawdale.entry.HttpResult
-import dev.jackdawdale.entry.JSON_TYPE
 import dev.jackdawdale.entry.Route
-import dev.jackdawdale.model.Refusal
 import dev.jackdawdale.staged.StagedCommand
 import dev.jackdawdale.staged.StagedQuery
 import dev.jackdawdale.staged.StagedReply
@@ -14,8 +12,6 @@
 import dev.jackdawdale.wire.ControlClient
 import dev.jackdawdale.wire.Query
 import dev.jackdawdale.wire.Reply
-import kotlinx.serialization.json.JsonObjectBuilder
-import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import org.apache.logging.log4j.LogManager
 
@@ -25,16 +21,7 @@
 /** Left of the caller's time for the way back of the answer. */
 private const val ANSWER_MARGIN_MS = 150L
 private const val MIN_CALL_MS = 50L
-private const val MS_PER_S = 1_000
-
-private const val OK = 200
-private const val BAD_REQUEST = 400
-private const val NOT_FOUND = 404
-private const val NOT_ALLOWED = 405
-private const val GONE = 410
-private const val OVERLOADED = 429
-private const val UNAVAILABLE = 503
-private const val UNKNOWN_OUTCOME = 504
+private const val RETRY_AFTER_MS = 1_000L
 
 private val log = LogManager.getLogger("dev.jackdawdale.platform")
 
@@ -94,36 +81,17 @@
     private fun answer(reply: Reply): HttpResult = when (reply) {
         is Reply.Staged -> answer(reply.reply)
         Reply.LeadershipLost -> text(UNKNOWN_OUTCOME, "no answer from the leader in time")
-        is Reply.Refused -> text(
-            UNAVAILABLE,
-            reason(reply.refusal),
-            retryAfterMs = MS_PER_S.toLong()
-        )
+        is Reply.Refused -> text(UNAVAILABLE, "not run: ${reply.refusal}", RETRY_AFTER_MS)
         else -> text(UNKNOWN_OUTCOME, "unexpected reply ${reply::class.simpleName}")
     }
 
-    private fun reason(refusal: Refusal): String = "not run: $refusal"
-
     private fun answer(reply: StagedReply): HttpResult = when (reply) {
         is StagedReply.Job -> json(OK) { put("state", reply.progress.wireName) }
         is StagedReply.Pending -> json(OK) { put("pending", reply.jobs) }
         StagedReply.NoSuchJob -> text(GONE, "no such job")
         StagedReply.NoSuchQueue -> text(NOT_FOUND, "no queue takes this host and path")
-        StagedReply.NotConfigured -> text(UNAVAILABLE, "no configuration yet", MS_PER_S.toLong())
+        StagedReply.NotConfigured -> text(UNAVAILABLE, "no configuration yet", RETRY_AFTER_MS)
         is StagedReply.Overloaded -> text(OVERLOADED, "not run: overloaded", reply.retryAfterMs)
         is StagedReply.Malformed -> text(BAD_REQUEST, reply.problem)
     }
 }
-
-private fun json(status: Int, build: JsonObjectBuilder.() -> Unit): HttpResult {
-    val body = buildJsonObject(build).toString().encodeToByteArray()
-    return HttpResult(status, JSON_TYPE, body)
-}
-
-/** An answer with a message for people, and when to come back if that may help. */
-internal fun text(status: Int, message: String, retryAfterMs: Long? = null): HttpResult {
-    val body = buildJsonObject { put("error", message) }.toString().encodeToByteArray()
-    val headers = retryAfterMs
-        ?.let { mapOf("Retry-After" to "${(it + MS_PER_S - 1) / MS_PER_S}") }.orEmpty()
-    return HttpResult(status, JSON_TYPE, body, headers)
-}
--- a/src/main/kotlin/dev/jackdawdale/platform/OperatorRoutes.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/OperatorRoutes.kt
@@ -17,11 +17,6 @@
 
 /** Callers move to another host after a second without an answer. */
 private const val ANSWER_TIMEOUT_MS = 900L
-private const val OK = 200
-private const val REDIRECT = 307
-private const val BAD_REQUEST = 400
-private const val UNAVAILABLE = 503
-private val emptyObject = "{}".encodeToByteArray()
 
 /**
  * Translates the calls of operators and workers. A host that does not lead names the leader.
@@ -92,8 +87,8 @@
     private fun redirect(leader: HostId?, path: String): HttpResult {
         if (leader == null) return text(UNAVAILABLE, "no leader is known")
         val location = mapOf("Location" to "http://${leader.value}:$port$path")
-        return HttpResult(REDIRECT, JSON_TYPE, emptyObject, location)
+        return HttpResult(REDIRECT, JSON_TYPE, json(REDIRECT).body, location)
     }
 
-    private fun done() = HttpResult(OK, JSON_TYPE, emptyObject)
+    private fun done() = json(OK)
 }
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformClient.kt
@@ -22,13 +22,6 @@
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 
-private const val OK = 200
-private const val BAD_REQUEST = 400
-private const val CONFLICT = 409
-private const val OTHER_BOOT = 421
-private const val TOO_MANY = 429
-private const val UNAVAILABLE = 503
-
 /** Makes the calls to workers and to the adviser, and translates what they say. */
 internal class PlatformClient(private val http: HttpCaller, private val settings: PushSettings) {
     /** The calls to workers. */
@@ -54,7 +47,7 @@
             OK -> StartResult.Started
             CONFLICT -> refusalOf(outcome.body)
             BAD_REQUEST -> StartResult.Refused(StartRefusal.MALFORMED)
-            TOO_MANY, UNAVAILABLE -> StartResult.Refused(StartRefusal.UNHEALTHY)
+            OVERLOADED, UNAVAILABLE -> StartResult.Refused(StartRefusal.UNHEALTHY)
             OTHER_BOOT -> StartResult.OtherBoot
             else -> StartResult.Unknown("status ${outcome.status}")
         }
@@ -158,7 +151,7 @@
         is CallOutcome.Unanswered -> AdviceResult.Failed(outcome.reason)
         is CallOutcome.Answered -> when (outcome.status) {
             OK -> tickets(outcome.body)
-            TOO_MANY -> AdviceResult.Busy
+            OVERLOADED -> AdviceResult.Busy
             else -> AdviceResult.Failed("status ${outcome.status}")
         }
     }
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -69,8 +69,6 @@
 
 /** Part of the grace period that is left for the end of the process. */
 private const val EXIT_MARGIN_MS = 1_000L
-private const val READY_OK = 200
-private const val NOT_READY = 503
 
 /** One process on the platform: callers' traffic, control, or both. */
 internal class PlatformHost(
@@ -130,7 +128,7 @@
     )
     private val readiness: HttpServer? = settings.readiness?.let { address ->
         val route = Route("GET", "/readiness", Access.ANYONE) {
-            if (isReady) text(READY_OK, "ready") else text(NOT_READY, "not ready")
+            if (isReady) text(OK, "ready") else text(UNAVAILABLE, "not ready")
         }
         httpServer(address.toHttp(), listOf(route))
     }
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformSettings.kt
@@ -17,7 +17,7 @@
  *
  * @property hostIp address of this machine; it names the host
  * @property peerPort port on which the system's own processes talk, the same on all machines
- * @property seeds addresses of control machines, their first port is the operators' one
+ * @property seeds control machines that this process knows at first; the port is the operators' one
  * @property firstStart the whole system starts for the first time, with empty disks
  * @property callers where callers connect, or null
  * @property readiness where the balancer asks for readiness, or null
--- a/src/main/kotlin/dev/jackdawdale/platform/StandInAdviser.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/StandInAdviser.kt
@@ -6,16 +6,12 @@
 import dev.jackdawdale.entry.HttpResult
 import dev.jackdawdale.entry.HttpServer
 import dev.jackdawdale.entry.HttpSettings
-import dev.jackdawdale.entry.JSON_TYPE
 import dev.jackdawdale.entry.Route
 import dev.jackdawdale.entry.httpServer
 import kotlinx.serialization.json.add
 import kotlinx.serialization.json.addJsonArray
-import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.putJsonArray
 
-private const val OK = 200
-
 /** An adviser of the platform for tests and demonstrations; [allows] is its policy. */
 internal class StandInAdviser(
     private val allows: (step: String, workerId: String) -> Boolean = { _, _ -> true }
@@ -35,7 +31,7 @@
         val question = wireObject(call.body)
         val step = question.text("step")
         val workers = question.array("workers").map { it.asText("workers") }
-        val answer = buildJsonObject {
+        return json(OK) {
             putJsonArray("good") {
                 workers.filter { allows(step, it) }.forEach {
                     addJsonArray {
@@ -45,6 +41,5 @@
                 }
             }
         }
-        return HttpResult(OK, JSON_TYPE, answer.toString().encodeToByteArray())
     }
 }
--- a/src/main/kotlin/dev/jackdawdale/platform/StandInWorker.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/StandInWorker.kt
@@ -6,7 +6,6 @@
 import dev.jackdawdale.entry.HttpResult
 import dev.jackdawdale.entry.HttpServer
 import dev.jackdawdale.entry.HttpSettings
-import dev.jackdawdale.entry.JSON_TYPE
 import dev.jackdawdale.entry.Route
 import dev.jackdawdale.entry.httpServer
 import java.util.concurrent.Executors
@@ -24,10 +23,6 @@
 import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
 
-private const val OK = 200
-private const val BAD_REQUEST = 400
-private const val CONFLICT = 409
-private const val OTHER_INSTANCE = 421
 private const val LEASE_TICK_MS = 20L
 
 /**
@@ -127,7 +122,7 @@
         handle: suspend (JsonObject) -> HttpResult
     ): HttpResult {
         val expected = call.headers["Expect-Instance"]
-        if (expected != null && expected != id) return result(OTHER_INSTANCE)
+        if (expected != null && expected != id) return result(OTHER_BOOT)
         return try {
             handle(wireObject(call.body))
         } catch (e: MalformedBody) {
@@ -247,13 +242,11 @@
         }
     }
 
-    private fun result(status: Int, build: JsonObjectBuilder.() -> Unit = {}): HttpResult {
-        val body = buildJsonObject {
+    private fun result(status: Int, build: JsonObjectBuilder.() -> Unit = {}): HttpResult =
+        json(status) {
             put("clockMs", clock())
             build()
         }
-        return HttpResult(status, JSON_TYPE, body.toString().encodeToByteArray())
-    }
 
     private companion object {
         /** Longer than any caller waits for the answer to an order. */
--- a/src/main/kotlin/dev/jackdawdale/platform/WireConfiguration.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireConfiguration.kt
@@ -27,7 +27,7 @@
     if (queues.distinctBy { it.name }.size < queues.size) {
         throw MalformedBody("two routes share a name")
     }
-    return QueueConfiguration(fields.long("version"), bytes.decodeToString(), queues, services)
+    return QueueConfiguration(fields.long("version"), bytes.decodeToString(), queues)
 }
 
 private fun queue(fields: JsonObject) = QueueSpec(
--- a/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
@@ -150,9 +150,6 @@
         return call
     }
 
-    /** Whether a call for the step is under way. */
-    fun isAsking(stepId: StepId): Boolean = steps[stepId]?.inFlight ?: false
-
     private fun expire(nowMs: Long) {
         val late = calls.values.filter { nowMs > it.dueAtMs }
         late.forEach {
--- a/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
@@ -6,7 +6,6 @@
 import dev.jackdawdale.staged.StageTaskId
 import dev.jackdawdale.staged.StagedEvent
 import dev.jackdawdale.telemetry.DecisionLog
-import org.apache.logging.log4j.LogManager
 
 /**
  * What the leader needs of its surroundings. All but [submit] are called on the control thread.
@@ -29,12 +28,12 @@
     val term: Long,
     val settings: PushSettings,
     val around: LeaderSurroundings,
+    val decisions: DecisionLog,
     val emit: (Pass, StagedEvent) -> Unit
 ) {
     /** The workers that this leader knows, by id. */
     val links = HashMap<String, WorkerLink>()
     val desk = AdviceDesk(around.askAdvice)
-    val decisions = DecisionLog(LogManager.getLogger("dev.jackdawdale.push"))
 
     /** Only a leader that heard a quorum lately may give orders: another one may have begun. */
     fun mayOrder(nowMs: Long): Boolean = nowMs - around.quorumHeardMs() < settings.quorumFreshMs
--- a/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
@@ -11,9 +11,7 @@
 
 /** Asks workers what they run, extends their leases and settles what they say. */
 internal class RunReports(private val context: LeaderContext, private val members: WorkerMembers) {
-    /** Reports asked since the last line about them. */
-    var asked = 0
-        private set
+    private var asked = 0
     private var withEnds = 0
 
     /** Writes how many reports were asked, and begins to count anew. */
--- a/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
@@ -24,13 +24,14 @@
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.push")
-private val decisions = DecisionLog(log)
 
 /** The part of the control thread that serves staged jobs. */
 internal class StagedControl(
     private val settings: PushSettings,
     private val around: LeaderSurroundings
 ) {
+    /** One for all lines about staged jobs, as its bound is one for the process. */
+    private val decisions = DecisionLog(log)
     private var leader: StagedLeader? = null
 
     /** The functions that the control loop calls. */
@@ -39,12 +40,12 @@
         lostLeadership = { leader = null },
         decide = { pass -> leader?.decide(pass) },
         handle = ::handle,
-        answer = { state, query, _ -> answer(state.staged, query) },
+        answer = { state, query -> answer(state.staged, query) },
         adviceAnswered = ::adviceAnswered
     )
 
     private fun becameLeader(term: Long, state: CellState, nowMs: Long) {
-        leader = StagedLeader(term, state.staged, settings, around, nowMs)
+        leader = StagedLeader(term, state.staged, settings, around, decisions, nowMs)
     }
 
     private fun adviceAnswered(pass: Pass, hostId: HostId, callId: Long, result: AdviceResult) {
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -13,6 +13,7 @@
 import dev.jackdawdale.staged.held
 import dev.jackdawdale.staged.job
 import dev.jackdawdale.staged.task
+import dev.jackdawdale.telemetry.DecisionLog
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.push")
@@ -27,9 +28,10 @@
     state: StagedState,
     private val settings: PushSettings,
     around: LeaderSurroundings,
+    decisions: DecisionLog,
     nowMs: Long
 ) {
-    private val context = LeaderContext(term, settings, around, ::emit)
+    private val context = LeaderContext(term, settings, around, decisions, ::emit)
     private val links get() = context.links
     private val members = WorkerMembers(context)
     private val placement = StepPlacement(context)
@@ -53,16 +55,16 @@
                     progressMs = nowMs,
                     resumed = true
                 )
-                linkFor(placement, lapsedMs, nowMs)?.hold(run)
+                linkFor(placement, lapsedMs, nowMs).hold(run)
             }
             placement.refresh(state, job.spec.jobId)
             stopUnwanted(state, job.spec.jobId)
         }
     }
 
-    /** Placements on workers that are gone are settled when their worker's link is made. */
-    private fun linkFor(placement: RunPlacement, lapsedMs: Long, nowMs: Long): WorkerLink? =
-        links[placement.workerId] ?: run {
+    /** A run on a worker that is not known any more holds its room until its lease has lapsed. */
+    private fun linkFor(placement: RunPlacement, lapsedMs: Long, nowMs: Long): WorkerLink =
+        links.getOrPut(placement.workerId) {
             val gone = PushWorker(
                 placement.workerId,
                 placement.workerBoot,
@@ -75,15 +77,13 @@
                 labels = emptyList(),
                 draining = true
             )
-            WorkerLink(gone, lapsedMs, nowMs).also { links[placement.workerId] = it }
+            WorkerLink(gone, lapsedMs, nowMs)
         }
 
     /** Makes [event] part of the pass and keeps the indexes of this leader in step. */
     fun emit(pass: Pass, event: StagedEvent) {
-        val jobId = (event as? StagedEvent.RunEnded)?.taskId?.stepId?.jobId
-        val before = jobId?.let { pass.state.staged.job(it)?.outcome }
+        if (event is StagedEvent.RunEnded) return emitEnd(pass, event)
         pass.emit(Event.Staged(event))
-        if (event is StagedEvent.RunEnded) logEnd(pass, event, before)
         when (event) {
             is StagedEvent.JobAccepted -> placement.refresh(pass.state.staged, event.spec.jobId)
             is StagedEvent.OccurrenceBegun -> placement.refresh(pass.state.staged, event.jobId)
@@ -92,17 +92,21 @@
                 stopUnwanted(pass.state.staged, event.jobId)
             }
             is StagedEvent.TasksPlaced -> placement.refresh(pass.state.staged, event.stepId.jobId)
-            is StagedEvent.RunEnded -> {
-                links.values.forEach { link ->
-                    link.runOf(event.taskId, event.run)?.let { link.release(it.taskId) }
-                }
-                placement.refresh(pass.state.staged, event.taskId.stepId.jobId)
-                stopUnwanted(pass.state.staged, event.taskId.stepId.jobId)
-            }
             else -> Unit
         }
     }
 
+    private fun emitEnd(pass: Pass, event: StagedEvent.RunEnded) {
+        val jobId = event.taskId.stepId.jobId
+        val outcomeBefore = pass.state.staged.job(jobId)?.outcome
+        val placed = pass.state.staged.task(event.taskId)?.placement
+        pass.emit(Event.Staged(event))
+        logEnd(pass, event, outcomeBefore)
+        if (placed?.run == event.run) links[placed.workerId]?.release(event.taskId)
+        placement.refresh(pass.state.staged, jobId)
+        stopUnwanted(pass.state.staged, jobId)
+    }
+
     private fun logEnd(pass: Pass, event: StagedEvent.RunEnded, outcomeBefore: JobOutcome?) {
         val jobId = event.taskId.stepId.jobId
         context.decisions.line(pass.nowMs, jobId) {
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -13,6 +13,7 @@
 import dev.jackdawdale.staged.StagedState
 import dev.jackdawdale.staged.counted
 import dev.jackdawdale.staged.job
+import dev.jackdawdale.staged.rack
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.push")
@@ -50,15 +51,17 @@
             .sortedBy { it.rank(nowMs) }
         context.desk.beginPass()
         val reserved = Reserved()
-        for (step in waiting) place(pass, step, reserved)
+        val usable = context.links.values.filter {
+            it.isUsable(nowMs)
+        }.groupBy { it.worker.service }
+        for (step in waiting) {
+            place(pass, step, usable[step.job.terms.service].orEmpty(), reserved)
+        }
         context.desk.dispatch(context.around.callingHosts(), nowMs)
     }
 
-    private fun place(pass: Pass, step: ReadyStep, reserved: Reserved) {
+    private fun place(pass: Pass, step: ReadyStep, usable: List<WorkerLink>, reserved: Reserved) {
         val nowMs = pass.nowMs
-        val usable = context.links.values.filter {
-            it.worker.service == step.job.terms.service && it.isUsable(nowMs)
-        }
         val terms = step.job.terms.advice
         if (terms != null && !context.desk.isAnswered(step.id)) return want(step, usable, nowMs)
         val allowed = usable.filter { terms == null || context.desk.allows(step.id, it.candidate) }
@@ -102,7 +105,7 @@
 
     private fun WorkerLink.room(step: ReadyStep, reserved: Reserved, nowMs: Long) = WorkerRoom(
         workerId = worker.workerId,
-        rack = worker.labels.getOrElse(1) { "" },
+        rack = worker.rack,
         labels = worker.labels,
         free = free - reserved.of(worker.workerId),
         suspect = suspectUntilMs > nowMs,
@@ -146,12 +149,7 @@
 
     fun adviceAnswered(pass: Pass, hostId: HostId, callId: Long, result: AdviceResult) {
         if (result !is AdviceResult.Given) {
-            log.warn(
-                "advice call {} at {}: {}",
-                callId,
-                hostId,
-                result
-            )
+            log.warn("advice call {} at {}: {}", callId, hostId, result)
         }
         val call = context.desk.answered(hostId, callId, result, pass.nowMs) ?: return
         context.decisions.line(pass.nowMs, call.stepId.jobId) {
--- a/src/main/kotlin/dev/jackdawdale/push/StuckRuns.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StuckRuns.kt
@@ -14,11 +14,8 @@
         if (pass.nowMs < moveDueMs) return
         moveDueMs = pass.nowMs + MOVE_EVERY_MS
         for (link in context.links.values) {
-            if (!link.reachable ||
-                pass.nowMs - link.reportedMs > context.settings.stalledMs
-            ) {
-                continue
-            }
+            val isCurrent = pass.nowMs - link.reportedMs <= context.settings.stalledMs
+            if (!link.reachable || !isCurrent) continue
             val progress = link.held.values.mapNotNull { progressOf(pass, link, it) }
             val moves = decideMoves(progress, context.settings.stalledMs, pass.nowMs)
             if (moves.suspect) link.suspectUntilMs = pass.nowMs + context.settings.suspectMs
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerLink.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerLink.kt
@@ -15,8 +15,7 @@
 internal class WorkerLink(var worker: PushWorker, inheritedUntilMs: Long, nowMs: Long) {
     private val runs = LinkedHashMap<StageTaskId, HeldRun>()
 
-    var used = Resources()
-        private set
+    private var used = Resources()
 
     /** The runs that hold room on the worker. */
     val held: Map<StageTaskId, HeldRun> get() = runs
--- a/src/main/kotlin/dev/jackdawdale/staged/QueueSpec.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/QueueSpec.kt
@@ -45,12 +45,7 @@
  * @property document the text as the operator sent it
  */
 @Serializable
-data class QueueConfiguration(
-    val version: Long,
-    val document: String,
-    val queues: List<QueueSpec>,
-    val services: List<String>
-)
+data class QueueConfiguration(val version: Long, val document: String, val queues: List<QueueSpec>)
 
 /** The queue that takes calls for [path] on [host]: the one with the longest matching prefix. */
 fun QueueConfiguration.queueFor(host: String, path: String): QueueSpec? = queues
--- a/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
@@ -49,10 +49,7 @@
     private val selector = SelectorManager(Dispatchers.IO)
     private val calls = PendingCalls()
     private val search =
-        LeaderSearch(settings.controlHosts.keys.toList()) {
-            settings.addressOf(it) !=
-                null
-        }
+        LeaderSearch(settings.controlHosts.keys.toList()) { settings.addressOf(it) != null }
     private val seenTerm = AtomicLong()
     private val sessionsOpened = AtomicLong()
 
--- a/src/test/kotlin/dev/jackdawdale/platform/PlatformContractTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/platform/PlatformContractTest.kt
@@ -66,7 +66,7 @@
 class PlatformContractTest :
     FunSpec({
         test("every call gets its exact answer, and a bad one changes nothing") {
-            PlatformCell(listOf(StandInWorker("i-1"), StandInWorker("i-2"))).use { cell ->
+            platformCell(listOf(StandInWorker("i-1"), StandInWorker("i-2"))).use { cell ->
                 eventually(20.seconds) { cell.readiness().status shouldBe 200 }
                 cell.caller("POST", "$QUEUE$JOB", job(1)).status shouldBe 503
                 cell.operator("GET", "/config").status shouldBe 503
@@ -83,7 +83,7 @@
         }
 
         test("a job runs once although it is handed in twice, and its steps keep their order") {
-            PlatformCell(listOf(StandInWorker("i-1"), StandInWorker("i-2"))).use { cell ->
+            platformCell(listOf(StandInWorker("i-1"), StandInWorker("i-2"))).use { cell ->
                 cell.open(configuration(5), SERVICE)
                 repeat(2) { cell.caller("POST", "$QUEUE$JOB", job(3)).status shouldBe 200 }
                 eventually(10.seconds) {
@@ -100,7 +100,7 @@
             val late = StandInWorker("i-1", taskMs = 400) { order ->
                 if (order % 2 == 1) OrderFault(answerLost = true, delayMs = 700) else OrderFault()
             }
-            PlatformCell(listOf(late)).use { cell ->
+            platformCell(listOf(late)).use { cell ->
                 cell.open(configuration(5), SERVICE)
                 cell.caller("POST", "$QUEUE$JOB", job(3)).status shouldBe 200
                 eventually(20.seconds) {
@@ -112,7 +112,7 @@
         }
 
         test("a job that is cancelled before it arrives never runs") {
-            PlatformCell(listOf(StandInWorker("i-1"))).use { cell ->
+            platformCell(listOf(StandInWorker("i-1"))).use { cell ->
                 cell.open(configuration(5), SERVICE)
                 cell.caller("DELETE", "$QUEUE$JOB").status shouldBe 410
                 cell.caller("POST", "$QUEUE$JOB", job(1)).status shouldBe 200
--- a/src/test/kotlin/dev/jackdawdale/push/StagedLeaderTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/StagedLeaderTest.kt
@@ -16,9 +16,11 @@
 import dev.jackdawdale.staged.StagedJobSpec
 import dev.jackdawdale.staged.StepId
 import dev.jackdawdale.staged.StepSpec
+import dev.jackdawdale.telemetry.DecisionLog
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
+import org.apache.logging.log4j.LogManager
 
 private const val JOB = "5c0e7a21d94b36f8"
 private const val NOW_MS = 100_000L
@@ -72,6 +74,7 @@
             callingHosts = { emptySet() },
             askAdvice = { false }
         ),
+        DecisionLog(LogManager.getLogger("test")),
         NOW_MS
     )
 
--- a/src/test/kotlin/dev/jackdawdale/staged/ApplyStagedTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/staged/ApplyStagedTest.kt
@@ -170,7 +170,7 @@
                 labels = listOf("a", "r1-1")
             )
             val events = listOf(
-                StagedEvent.Configured(QueueConfiguration(3, "{}", listOf(queue), listOf("p"))),
+                StagedEvent.Configured(QueueConfiguration(3, "{}", listOf(queue))),
                 StagedEvent.WorkerReported(worker),
                 accepted(single, gang.copy(after = listOf(0))),
                 placed(1, 0)
