Find the next leader sooner, start faster, see ends sooner while calls get lost

Ruled out: room and placement (95 of 100 short jobs placed within 50 ms).

Election timeouts are 360 ms and staggered by turn; a follower whose connection from the leader ended waits 160 ms; a replica that has just started asks for votes after 160 ms. Entry hosts ask all control hosts at once (FindLeader, Leads) and open one session at a time (SessionElection). ReportTiming shortens questions while calls get lost. AdviceDesk keeps a host for short calls.

Tests changed for the new protocol, each as strict as before: in ControlClientTest followers say so to FindLeader instead of SessionOpen, and get no SessionOpen at all; the old leader of the lower term claims only after the session stands, since hosts are asked at once now.

--- a/src/main/kotlin/dev/jackdawdale/bench/LoopbackLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/bench/LoopbackLeader.kt
@@ -25,6 +25,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.serialization.builtins.serializer
 
@@ -56,6 +57,7 @@
     val opened = CopyOnWriteArrayList<EntryMessage.SessionOpen>()
     val commands = CopyOnWriteArrayList<Command>()
     val finished = CopyOnWriteArrayList<EntryMessage.AttemptFinished>()
+    val asked = AtomicInteger()
     val port: Int get() = network.port
 
     @Volatile
@@ -75,6 +77,9 @@
     var onOpen: (EntryMessage.SessionOpen) -> ControlMessage =
         { ControlMessage.SessionAccepted(term) }
 
+    @Volatile
+    var onFind: () -> ControlMessage = { ControlMessage.Leads(term) }
+
     /** The reply to a command, or null for none. */
     @Volatile
     var onCommand: (ControlSession, Command) -> Reply? = ::acceptAndDispatch
@@ -119,6 +124,10 @@
     private fun receive(session: ControlSession, message: EntryMessage) {
         when (message) {
             is EntryMessage.SessionOpen -> open(session, message)
+            is EntryMessage.FindLeader -> {
+                asked.incrementAndGet()
+                session.send(onFind())
+            }
             is EntryMessage.AdviceAnswered -> Unit
             is EntryMessage.SessionHeartbeat -> Unit
             is EntryMessage.CommandCall -> {
--- a/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
@@ -49,6 +49,8 @@
         extension
     )
     private var leadership: Leadership? = null
+
+    private val searching = LeaderSearches()
     private var lastTickMs = 0L
     private val unconfirmed = ArrayList<() -> Unit>()
     private var confirmedMs = 0L
@@ -105,6 +107,7 @@
         configurations.expedite()
         extension.becameLeader(term, committed, nowMs)
         observer.roleChanged(true, term)
+        searching.leads(term)
     }
 
     fun lostLeadership(term: Long) {
@@ -121,6 +124,9 @@
     // Inputs from entry hosts
 
     fun received(link: SessionLink, message: EntryMessage) {
+        if (message is EntryMessage.FindLeader) {
+            return searching.asked(link, leadership?.term, log.status().leader)
+        }
         if (leadership == null) {
             link.send(ControlMessage.NotLeader(log.status().leader))
             link.close()
@@ -130,7 +136,10 @@
         wakeUp()
     }
 
-    fun sessionClosed(link: SessionLink) = sessions.closed(link)
+    fun sessionClosed(link: SessionLink) {
+        searching.closed(link)
+        sessions.closed(link)
+    }
 
     /** Hosts whose sessions may be asked for calls to outside services. */
     val callingHosts: Set<HostId> get() = sessions.dispatchable()
@@ -156,7 +165,7 @@
         val session = sessions.of(link) ?: return link.close()
         sessions.heard(session, pass.nowMs)
         when (message) {
-            is EntryMessage.SessionOpen -> Unit
+            is EntryMessage.SessionOpen, is EntryMessage.FindLeader -> Unit
 
             is EntryMessage.SessionHeartbeat -> session.draining = message.draining
 
--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -94,7 +94,8 @@
             },
             onSessionClosed = { session ->
                 onControl { links.remove(session)?.let(loop::sessionClosed) }
-            }
+            },
+            onPeerEnded = { from -> onControl { replica.connectionEnded(from, clock()) } }
         )
     )
 
--- a/src/main/kotlin/dev/jackdawdale/platform/DemoCommand.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/DemoCommand.kt
@@ -1,12 +1,16 @@
 package dev.jackdawdale.platform
 
 import dev.jackdawdale.cli.ExitCode
+import dev.jackdawdale.telemetry.Logging
+import dev.jackdawdale.telemetry.configureLogging
 import java.net.ServerSocket
 import java.util.concurrent.Callable
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.Level
 import picocli.CommandLine.Command
+import picocli.CommandLine.Option
 
 private const val WORKERS = 3
 private const val PORTS = 4
@@ -38,7 +42,14 @@
     mixinStandardHelpOptions = true
 )
 internal class DemoCommand : Callable<Int> {
+    @Option(names = ["--logs"], description = ["Also writes the log lines of the process."])
+    private var writesLogs = false
+
     override fun call(): Int {
+        if (writesLogs) {
+            val incarnation = System.currentTimeMillis()
+            configureLogging(Logging(true, Level.INFO, "loopback", incarnation))
+        }
         val workers = List(WORKERS) { StandInWorker("w$it") }
         val isDone = LoopbackCell(workers, freePorts()).use { cell ->
             runBlocking { withTimeoutOrNull(TIMEOUT_MS) { drive(cell) } } != null
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformClient.kt
@@ -96,7 +96,7 @@
             question.leaseUntilMs?.let { put("deadlineMs", it) }
             if (question.waitMs > 0) put("waitMs", question.waitMs)
         }
-        val timeoutMs = question.waitMs + REPORT_ANSWER_MS
+        val timeoutMs = question.waitMs + settings.reportAnswerMs
         call(worker, "/hold", body, timeoutMs) { onResult(reportResult(it)) }
     }
 
@@ -166,8 +166,6 @@
     }
 
     private companion object {
-        /** Time for the answer on top of the wait that the question allows. */
-        const val REPORT_ANSWER_MS = 700L
         const val ADVICE_TIMEOUT_MS = 10_000L
         const val MAX_LOGGED = 200
     }
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -47,15 +47,27 @@
 private const val RETAINED_BYTES = 2L * 1024 * 1024
 
 /** A connection may fall silent without an error; it is replaced within the election timeout. */
-private const val PEER_HEARTBEAT_MS = 200L
-private const val PEER_SILENCE_MS = 700L
-private const val SESSION_SILENCE_MS = 700L
-private const val CONFIGURATION_EVERY_MS = 200L
+private const val PEER_HEARTBEAT_MS = 100L
+private const val PEER_SILENCE_MS = 450L
+private const val SESSION_SILENCE_MS = 450L
+private const val CONFIGURATION_EVERY_MS = 100L
+
+/** A host that is frozen accepts connections and does not answer on them. */
 private const val CONNECT_TIMEOUT_MS = 300L
+private const val HANDSHAKE_TIMEOUT_MS = 300L
+
+/**
+ * The shortest jobs have to end within 1.3 s, so a new leader stands after a part of that. Longer
+ * than a pause for garbage and a slice without processor time (100 ms) together.
+ */
+private const val ELECTION_TIMEOUT_MS = 360L
+private const val RAFT_HEARTBEAT_MS = 80L
+
+/** A leader that only lost its connection is heard again after one heartbeat and a new dial. */
+private const val SUSPECT_AFTER_MS = 160L
 
-/** Callers wait 3 s for an answer; a new leader has to stand well before that. */
-private const val ELECTION_TIMEOUT_MS = 600L
-private const val RAFT_HEARTBEAT_MS = 120L
+/** After a loss of power all hosts start at about the same time. */
+private const val START_PATIENCE_MS = 160L
 
 /** Questions to the quorum cost each replica a message; this is short against a run. */
 private const val CONFIRM_EVERY_MS = 15L
@@ -199,6 +211,7 @@
         ).copy(
             resolve = { PeerAddress(it.value, settings.peerPort) },
             connectTimeoutMs = CONNECT_TIMEOUT_MS,
+            handshakeTimeoutMs = HANDSHAKE_TIMEOUT_MS,
             heartbeatMs = PEER_HEARTBEAT_MS,
             silenceTimeoutMs = PEER_SILENCE_MS,
             sessionSilenceMs = SESSION_SILENCE_MS,
@@ -210,6 +223,8 @@
         raft = RaftSettings(
             electionTimeoutMs = ELECTION_TIMEOUT_MS,
             heartbeatMs = RAFT_HEARTBEAT_MS,
+            suspectAfterMs = SUSPECT_AFTER_MS,
+            startPatienceMs = START_PATIENCE_MS,
             targetMembers = 2 * settings.lossesBorne + 1
         ),
         snapshotEveryBytes = SNAPSHOT_EVERY_BYTES,
--- a/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
@@ -103,9 +103,11 @@
         if (free.isEmpty()) return
         val due = steps.entries.filter { it.value.wanted.isNotEmpty() && !it.value.inFlight }
             .sortedBy { it.value.rank }
-        var longRoom = (hosts.size + 1) / 2 - busy.values.count { it.isLong }
+        val shortIsDue = due.any { !it.value.isLong }
+        val longHosts = if (shortIsDue) hosts.size / 2 else (hosts.size + 1) / 2
+        var longRoom = longHosts - busy.values.count { it.isLong }
         for ((stepId, step) in due) {
-            val isLong = costMs(step.terms, step.wanted.size) > LONG_CALL_MS
+            val isLong = step.isLong
             if (isLong && longRoom <= 0) continue
             val hostId = free.removeFirstOrNull() ?: return
             if (isLong) longRoom--
@@ -168,6 +170,8 @@
     }
 }
 
+private val StepAdvice.isLong: Boolean get() = costMs(terms, wanted.size) > LONG_CALL_MS
+
 private val AdviceCall.isLong: Boolean get() = costMs(terms, asked.size) > LONG_CALL_MS
 
 /** A call that takes longer than this must leave hosts free for short calls. */
--- a/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
@@ -34,6 +34,7 @@
     /** The workers that this leader knows, by id. */
     val links = HashMap<String, WorkerLink>()
     val desk = AdviceDesk(around.askAdvice)
+    val timing = ReportTiming(settings)
 
     /** Only a leader that heard a quorum lately may give orders: another one may have begun. */
     fun mayOrder(nowMs: Long): Boolean = nowMs - around.quorumHeardMs() < settings.quorumFreshMs
--- a/src/main/kotlin/dev/jackdawdale/push/PushSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/PushSettings.kt
@@ -7,9 +7,13 @@
  * @property clockDriftShare how much slower than this host's a worker's clock may be
  * @property settleSlackMs network and timer delays on top of a lapse
  * @property startValidMs time within which a start order may take effect
- * @property startAnswerMs a start without an answer counts as unknown after this time
+ * @property startAnswerMs a start or stop without an answer counts as unknown after this time;
+ *   many times the way to a worker and back, and a small part of what a short job may take
  * @property reportWaitMs how long a worker may hold a report back while nothing ends
- * @property reportRetryMs pause after a report that failed
+ * @property lossyReportWaitMs the same while calls get lost: a lost report hides ends for this long
+ * @property reportAnswerMs time for a report's answer on top of that
+ * @property lossKeptMs after a lost call, calls count as unreliable for this time
+ * @property reportRetryMs pause after a second report that failed in a row
  * @property stopRetryMs a stop is repeated until the worker lists the end
  * @property quorumFreshMs a leader that heard no quorum for this long gives no orders
  * @property leaveSettleMs time between a worker's goodbye and the end of its process
@@ -23,11 +27,14 @@
     val clockDriftShare: Double = 0.02,
     val settleSlackMs: Long = 300,
     val startValidMs: Long = 1_500,
-    val startAnswerMs: Long = 400,
+    val startAnswerMs: Long = 150,
     val reportWaitMs: Long = 500,
+    val lossyReportWaitMs: Long = 150,
+    val reportAnswerMs: Long = 200,
+    val lossKeptMs: Long = 3_000,
     val reportRetryMs: Long = 200,
-    val stopRetryMs: Long = 400,
-    val quorumFreshMs: Long = 400,
+    val stopRetryMs: Long = 200,
+    val quorumFreshMs: Long = 300,
     val leaveSettleMs: Long = 500,
     val silentForgetMs: Long = 20_000,
     val endedKeepMs: Long = 300_000,
--- a/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
@@ -112,6 +112,7 @@
             order.tries,
             reason
         )
+        context.timing.callLost(context.around.clock())
         val run = link.runOf(start.taskId, start.run) ?: return
         if (run.start is StartState.Confirmed) return
         if (order.tries >= MAX_START_TRIES) return context.wantStop(start.taskId, run.placement)
--- a/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
@@ -38,7 +38,7 @@
         if (leaseMs != null) {
             link.leasedUntilMs = maxOf(link.leasedUntilMs, nowMs + context.settings.lapseMs)
         }
-        val waitMs = if (link.synced && link.reachable) context.settings.reportWaitMs else 0
+        val waitMs = context.timing.waitMs(link.synced && link.reachable, nowMs)
         val question = ReportQuestion(context.term, leaseMs, link.acknowledgedEnd, waitMs)
         val worker = link.worker
         context.around.calls.report(worker, question) { result ->
@@ -61,9 +61,11 @@
             is ReportResult.Failed -> {
                 if (link.reachable) {
                     log.warn("worker {} did not report: {}", worker.workerId, result.reason)
+                    context.timing.callLost(pass.nowMs)
                 }
                 link.reachable = false
-                link.reportDueMs = pass.nowMs + context.settings.reportRetryMs
+                link.reportFailures++
+                link.reportDueMs = context.timing.retryDueMs(link.reportFailures, pass.nowMs)
                 if (link.leaving) members.loseWorker(pass, link, "it said goodbye and is silent")
             }
         }
@@ -76,6 +78,7 @@
         }
         link.readClock(report.clockMs, nowMs)
         link.reachable = true
+        link.reportFailures = 0
         link.synced = true
         link.heardMs = nowMs
         link.reportedMs = nowMs
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerLink.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerLink.kt
@@ -41,6 +41,8 @@
     var decidedEnd = 0L
     var acknowledgedEnd = 0L
 
+    /** Questions in a row that got no answer. */
+    var reportFailures = 0
     var reportInFlight = false
     var reportDueMs = 0L
     private var clockMs: Long? = null
--- a/src/main/kotlin/dev/jackdawdale/raft/Election.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/Election.kt
@@ -32,8 +32,20 @@
     )
 }
 
+/** A leader whose connection has ended has little time to be heard again. */
+internal fun StepScope.connectionEnded(hostId: HostId) {
+    val leader = state.leader?.let { state.membership.member(it) }
+    if (state.role != Role.FOLLOWER || leader?.hostId != hostId) return
+    val patienceMs = state.settings.suspectAfterMs
+    val heardMs = nowMs + patienceMs - state.settings.electionTimeoutMs
+    state = state.copy(leaderHeardMs = minOf(state.leaderHeardMs, heardMs))
+        .withElectionDue(nowMs, patienceMs)
+}
+
+/** Asking again soon costs nobody anything: a pre-vote changes no term. */
 internal fun StepScope.startPreVote() {
-    state = state.copy(leader = null).withElectionDue(nowMs)
+    val patienceMs = state.settings.electionTimeoutMs / 2
+    state = state.copy(leader = null).withElectionDue(nowMs, patienceMs)
     if (!state.membership.isVoter(state.self)) return
     state = state.copy(role = Role.PRE_CANDIDATE, votes = persistentSetOf(state.self))
     askVoters { to ->
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftInput.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftInput.kt
@@ -9,6 +9,9 @@
 
     data class Receive(val from: HostId, val message: ConsensusMessage) : RaftInput
 
+    /** The connection over which [hostId] sends has ended. */
+    data class ConnectionEnded(val hostId: HostId) : RaftInput
+
     /** Appends one command, given as parts that are small enough for one message each. */
     data class Propose(val parts: List<Blob>) : RaftInput
 
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
@@ -13,10 +13,15 @@
  * @property targetMembers a silent member is removed while there are more than this many, so that a
  *   replacement at another address takes its place; null keeps every member
  * @property replaceAfterMs silence after which a member counts as replaced
+ * @property startPatienceMs how long a replica that has just started waits for a leader; asking
+ *   for votes disturbs no leader that a quorum hears
+ * @property suspectAfterMs how long a leader whose connection has ended may stay silent
  */
 internal data class RaftSettings(
     val electionTimeoutMs: Long = 1_000,
     val heartbeatMs: Long = 150,
+    val startPatienceMs: Long = electionTimeoutMs,
+    val suspectAfterMs: Long = electionTimeoutMs / 3,
     val maxAppendBytes: Int = MAX_MESSAGE_PAYLOAD_BYTES,
     val maxInFlightAppends: Int = 64,
     val promoteWithinEntries: Long = 256,
@@ -136,15 +141,26 @@
     term = term,
     votedFor = votedFor,
     random = seed
-).withElectionDue(nowMs)
+).withElectionDue(nowMs, settings.startPatienceMs)
 
-/** Draws the next election timeout, between one and two times the configured one. */
-internal fun RaftState.withElectionDue(nowMs: Long): RaftState {
+/**
+ * Draws the next election timeout: at least [patienceMs], then the voters one after the other, so
+ * that two of them seldom ask for the same votes. Each term begins with another voter.
+ */
+internal fun RaftState.withElectionDue(
+    nowMs: Long,
+    patienceMs: Long = settings.electionTimeoutMs
+): RaftState {
     val next = random + GOLDEN_GAMMA
     var mixed = (next xor (next ushr 30)) * -0x40a7b892e31b1a47L
     mixed = (mixed xor (mixed ushr 27)) * -0x6b2fb644ecceee15L
-    val extra = Math.floorMod(mixed xor (mixed ushr 31), settings.electionTimeoutMs)
-    return copy(random = next, electionDueMs = nowMs + settings.electionTimeoutMs + extra)
+    val voters = membership.voters
+    val turns = maxOf(1, voters.size)
+    val own = voters.indexOfFirst { it.replicaId == self }
+    val turn = if (own < 0) 0 else Math.floorMod(own + term, turns.toLong())
+    val turnMs = maxOf(1, settings.electionTimeoutMs / turns)
+    val extraMs = turn * turnMs + Math.floorMod(mixed xor (mixed ushr 31), turnMs)
+    return copy(random = next, electionDueMs = nowMs + patienceMs + extraMs)
 }
 
 // Increment of the SplitMix64 generator.
--- a/src/main/kotlin/dev/jackdawdale/raft/Step.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/Step.kt
@@ -23,6 +23,7 @@
     when (input) {
         RaftInput.Tick -> scope.tick()
         is RaftInput.Receive -> scope.receive(input.from, input.message)
+        is RaftInput.ConnectionEnded -> scope.connectionEnded(input.hostId)
         is RaftInput.Propose -> scope.propose(input.parts)
         is RaftInput.Persisted -> scope.persisted(input)
         is RaftInput.Read -> scope.read(input.readId)
--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -84,7 +84,8 @@
         run(RaftInput.Tick)
         introduce()
         takeSnapshotIfDue()
-        fetcher?.tick(otherHosts(), nowMs)
+        val others = state.membership.members.map { it.hostId }.filter { it != settings.hostId }
+        fetcher?.tick(others, nowMs)
     }
 
     /** Takes a message that [from] sent. */
@@ -100,6 +101,13 @@
         }
     }
 
+    /** The connection over which [from] sends has ended; another one may begin at once. */
+    fun connectionEnded(from: HostId, nowMs: Long) {
+        if (stopped) return
+        this.nowMs = nowMs
+        run(RaftInput.ConnectionEnded(from))
+    }
+
     /** Appends a command when this replica leads. It is committed once `apply` is called. */
     fun propose(payload: ByteArray, nowMs: Long): ProposeResult {
         if (stopped) return ProposeResult.NotLeader(null)
@@ -151,9 +159,6 @@
         calls.failAll(null)
     }
 
-    private fun otherHosts(): List<HostId> =
-        state.membership.members.map { it.hostId }.filter { it != settings.hostId }
-
     private fun leaderHost(): HostId? = state.leader?.let { state.membership.member(it)?.hostId }
 
     /**
--- a/src/main/kotlin/dev/jackdawdale/telemetry/Logging.kt
+++ b/src/main/kotlin/dev/jackdawdale/telemetry/Logging.kt
@@ -33,7 +33,10 @@
         builder.newAppender("console", "Console").addAttribute("target", "SYSTEM_OUT").add(layout)
     )
     builder.add(builder.newRootLogger(logging.level).add(builder.newAppenderRef("console")))
-    Configurator.reconfigure(builder.build())
+    val configuration = builder.build()
+    // The first one in a process saves reading the one on the class path.
+    val context = Configurator.initialize(configuration)
+    if (context.configuration !== configuration) Configurator.reconfigure(configuration)
 }
 
 private fun jsonLayout(builder: Builder, logging: Logging): LayoutComponentBuilder =
--- a/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
@@ -3,14 +3,17 @@
 import dev.jackdawdale.model.HeldAttempt
 import dev.jackdawdale.model.HostId
 import io.ktor.network.selector.SelectorManager
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
@@ -18,6 +21,9 @@
 private val log = LogManager.getLogger("dev.jackdawdale.wire")
 private const val LEADERSHIP_LOST_RETRY_MS = 100L
 
+/** A replica learns of a leader without telling those who asked it before. */
+private const val ASK_EVERY_MS = 250L
+
 /** A silent session is noticed within this part of its timeout. */
 private const val CHECKS_IN_SILENCE = 4
 
@@ -48,8 +54,11 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val calls = PendingCalls()
-    private val search =
-        LeaderSearch(settings.controlHosts.keys.toList()) { settings.addressOf(it) != null }
+    private val known =
+        KnownHosts(settings.controlHosts.keys.toList()) { settings.addressOf(it) != null }
+    private val election =
+        SessionElection<EntrySession> { candidate, reason -> candidate.link.close(reason) }
+    private val searches = ConcurrentHashMap<HostId, Job>()
     private val seenTerm = AtomicLong()
     private val sessionsOpened = AtomicLong()
 
@@ -66,10 +75,10 @@
     val sessionCount: Long get() = sessionsOpened.get()
 
     /** Whether a leader has accepted the present session. */
-    val isOpen: Boolean get() = session?.accepted ?: false
+    val isOpen: Boolean get() = session != null
 
     fun start() {
-        scope.launch { keepSession() }
+        known.hosts.forEach(::search)
     }
 
     /** Tells the leader, now and with each heartbeat, that this host takes no new dispatches. */
@@ -96,13 +105,13 @@
         await(calls.add(null, query, resend = true), timeoutMs)
 
     /** Queues a message outside of calls; false when there is no session. */
-    fun send(message: EntryMessage): Boolean {
-        val current = session ?: return false
-        return current.accepted && current.link.send(message)
-    }
+    fun send(message: EntryMessage): Boolean = session?.link?.send(message) ?: false
 
     /** Adds control hosts to those that are asked for the leader. */
-    fun learnControlHosts(hosts: List<HostId>) = search.learn(hosts)
+    fun learnControlHosts(hosts: List<HostId>) {
+        known.learn(hosts)
+        if (!isOpen) known.hosts.forEach(::search)
+    }
 
     override fun close() {
         session?.link?.close("the host is stopping")
@@ -115,7 +124,7 @@
         try {
             // The session is looked up after the call is registered: either this send or the
             // resend of a session that opens in between carries it.
-            session?.takeIf { it.accepted }?.let { transmit(call, it) }
+            session?.let { transmit(call, it) }
             val reply = withTimeoutOrNull(timeoutMs) { call.reply.await() }
             if (reply == null) call.endUnanswered()
             return call.reply.await()
@@ -129,44 +138,79 @@
         if (to.firstSend(call.callId) && call.beginSend()) to.link.send(call.message())
     }
 
-    private suspend fun keepSession() {
-        val backOff = BackOff(settings.reconnectMinMs, settings.reconnectMaxMs)
-        while (true) {
-            val hostId = search.next()
-            when (val end = runSession(hostId)) {
-                is SessionEnd.Redirected -> search.follow(end.leader)
-                is SessionEnd.Lost -> {
-                    if (end.wasOpen && !end.silent) search.follow(hostId)
-                    if (end.wasOpen) backOff.reset()
+    /** Asks [hostId] from now on whether it leads, unless that is under way. */
+    private fun search(hostId: HostId) {
+        searches.computeIfAbsent(hostId) {
+            scope.launch {
+                try {
+                    dialUntilOpen(hostId)
+                } finally {
+                    searches.remove(hostId)
+                    // The session may have ended after the last look at it.
+                    if (!isOpen && scope.isActive) search(hostId)
                 }
             }
-            if (search.shouldPause()) delay(backOff.nextMs())
         }
     }
 
-    private suspend fun runSession(hostId: HostId): SessionEnd {
-        val address = settings.addressOf(hostId) ?: return SessionEnd.Lost(wasOpen = false)
+    private suspend fun dialUntilOpen(hostId: HostId) {
+        val backOff = BackOff(settings.reconnectMinMs, settings.reconnectMaxMs)
+        while (!isOpen) {
+            val link = connect(hostId)
+            if (link != null && !isOpen) carry(EntrySession(link)) else link?.close("not needed")
+            if (!isOpen) delay(backOff.nextMs())
+        }
+    }
+
+    private suspend fun connect(hostId: HostId): FrameLink<ControlMessage, EntryMessage>? {
+        val address = settings.addressOf(hostId) ?: return null
         val types = LinkTypes(
             ControlMessage.serializer(),
             EntryMessage.serializer(),
             EntryMessage::weightBytes
         )
-        val link = try {
+        return try {
             dial(selector, settings, Role.ENTRY, hostId, address, types)
         } catch (e: HandshakeFailed) {
             log.warn("control host {}: {}", hostId, e.message)
-            return SessionEnd.Lost(wasOpen = false)
+            null
         } catch (e: Exception) {
             currentCoroutineContext().ensureActive()
             log.debug("cannot connect to control host {}: {}", hostId, e.message)
-            return SessionEnd.Lost(wasOpen = false)
+            null
         }
-        return carry(EntrySession(link))
     }
 
-    private suspend fun carry(opening: EntrySession): SessionEnd {
-        session = opening
-        opening.link.send(
+    /** Uses the connection until it ends: first to find the leader, then as the session. */
+    private suspend fun carry(candidate: EntrySession) {
+        election.connected(candidate)
+        val asking = scope.launch { keepAsking(candidate) }
+        try {
+            val reason = candidate.link.run { receive(candidate, it) }
+            if (candidate.opened) {
+                log.info("session with {} ended: {}", candidate.link.peer.hostId, reason)
+            }
+        } finally {
+            candidate.link.close("the session ended")
+            asking.cancel()
+            ended(candidate)
+        }
+    }
+
+    private fun ended(candidate: EntrySession) {
+        val wasSession = session === candidate
+        if (wasSession) session = null
+        val next = election.ended(candidate)
+        if (wasSession) sessionLost()
+        next?.let(::open)
+        if (wasSession) known.hosts.forEach(::search)
+    }
+
+    /** Opens the session; until it is accepted, another host may claim a greater term. */
+    private fun open(leading: EntrySession) {
+        leading.opened = true
+        leading.heard()
+        leading.link.send(
             EntryMessage.SessionOpen(
                 hostId = settings.hostId,
                 incarnation = settings.incarnation,
@@ -176,22 +220,18 @@
                 draining = draining
             )
         )
-        val heartbeat = scope.launch { keepAlive(opening) }
-        try {
-            val reason = opening.link.run { receive(opening, it) }
-            log.info("session with {} ended: {}", opening.link.peer.hostId, reason)
-        } finally {
-            opening.link.close("the session ended")
-            heartbeat.cancel()
-            session = null
-            sessionLost(opening)
+        scope.launch { keepAlive(leading) }
+    }
+
+    private suspend fun keepAsking(candidate: EntrySession) {
+        while (!candidate.opened && candidate.link.send(EntryMessage.FindLeader)) {
+            delay(ASK_EVERY_MS)
+            if (isOpen && !candidate.opened) candidate.link.close("the leader was found elsewhere")
         }
-        val silent = opening.silentMs() > settings.silenceTimeoutMs / 2
-        return opening.redirect ?: SessionEnd.Lost(opening.accepted, silent)
     }
 
     private suspend fun keepAlive(current: EntrySession) {
-        while (true) {
+        while (current.link.closedBecause == null) {
             delay(minOf(SESSION_HEARTBEAT_MS, settings.silenceTimeoutMs / CHECKS_IN_SILENCE))
             current.link.send(EntryMessage.SessionHeartbeat(draining))
             if (current.silentMs() > settings.silenceTimeoutMs) {
@@ -200,19 +240,23 @@
         }
     }
 
-    private fun sessionLost(lost: EntrySession) {
-        if (lost.accepted) callbacks.onLost()
+    private fun sessionLost() {
+        callbacks.onLost()
         calls.inOrder().filter { it.sent && !it.resend }.forEach { it.endUnanswered() }
     }
 
     private fun receive(from: EntrySession, message: ControlMessage) {
         from.heard()
         when (message) {
-            is ControlMessage.SessionAccepted -> {
-                search.learn(message.controlHosts)
-                opened(from, message.term)
-            }
+            is ControlMessage.Leads -> election.claimed(from, message.term)?.let(::open)
             is ControlMessage.NotLeader -> redirected(from, message.leader)
+            is ControlMessage.SessionAccepted -> opened(from, message)
+            else -> if (session === from) received(message)
+        }
+    }
+
+    private fun received(message: ControlMessage) {
+        when (message) {
             is ControlMessage.ReplyTo -> replied(message)
             is ControlMessage.Configuration -> {
                 sawTerm(message.term)
@@ -222,11 +266,16 @@
         }
     }
 
-    private fun opened(current: EntrySession, term: Long) {
+    private fun opened(current: EntrySession, message: ControlMessage.SessionAccepted) {
+        known.learn(message.controlHosts)
+        val term = message.term
         if (term < highestTerm) return current.link.close("leader of the old term $term")
+        val others = election.accepted(current)
+            ?: return current.link.close("another control host leads")
         sawTerm(term)
         sessionsOpened.incrementAndGet()
-        current.accepted = true
+        session = current
+        others.forEach { it.link.close("the leader was found elsewhere") }
         callbacks.onOpened(term)
         calls.inOrder().forEach { transmit(it, current) }
     }
@@ -237,8 +286,8 @@
     }
 
     private fun redirected(from: EntrySession, leader: HostId?) {
-        from.redirect = SessionEnd.Redirected(leader)
-        from.link.close("the control host does not lead")
+        if (leader != null && known.follow(leader)) search(leader)
+        if (from.opened) from.link.close("the control host does not lead")
     }
 
     private fun replied(message: ControlMessage.ReplyTo) {
@@ -248,7 +297,7 @@
         }
         scope.launch {
             delay(LEADERSHIP_LOST_RETRY_MS)
-            val current = session?.takeIf { it.accepted } ?: return@launch
+            val current = session ?: return@launch
             current.forget(call.callId)
             transmit(call, current)
         }
--- a/src/main/kotlin/dev/jackdawdale/wire/PeerNetwork.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/PeerNetwork.kt
@@ -40,7 +40,8 @@
 internal class PeerCallbacks<M>(
     val onPeerMessage: (from: HostId, message: M) -> Unit,
     val onSessionMessage: (session: ControlSession, message: EntryMessage) -> Unit,
-    val onSessionClosed: (session: ControlSession) -> Unit
+    val onSessionClosed: (session: ControlSession) -> Unit,
+    val onPeerEnded: (from: HostId) -> Unit = {}
 )
 
 /**
@@ -159,7 +160,9 @@
 
     private suspend fun serveControl(raw: RawLink, peer: Hello) {
         val link = FrameLink(raw, peer, LinkTypes(serializer, serializer, weightBytes), settings)
-        link.run { callbacks.onPeerMessage(peer.hostId, it) }
+        val reason = link.run { callbacks.onPeerMessage(peer.hostId, it) }
+        log.info("connection from control host {} ended: {}", peer.hostId, reason)
+        callbacks.onPeerEnded(peer.hostId)
     }
 
     private suspend fun serveEntry(raw: RawLink, peer: Hello) {
--- a/src/main/kotlin/dev/jackdawdale/wire/SessionMessages.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/SessionMessages.kt
@@ -37,6 +37,14 @@
         val draining: Boolean
     ) : EntryMessage
 
+    /**
+     * Asks whether the replica leads: it answers [ControlMessage.Leads], or
+     * [ControlMessage.NotLeader] now and [ControlMessage.Leads] once it does.
+     */
+    @Serializable
+    @SerialName("findLeader")
+    data object FindLeader : EntryMessage
+
     /** Sent every [SESSION_HEARTBEAT_MS]; [draining] hosts get no new dispatches. */
     @Serializable
     @SerialName("sessionHeartbeat")
@@ -88,6 +96,11 @@
     @SerialName("notLeader")
     data class NotLeader(val leader: HostId?) : ControlMessage
 
+    /** This replica leads in [term]; a session may be opened. */
+    @Serializable
+    @SerialName("leads")
+    data class Leads(val term: Long) : ControlMessage
+
     @Serializable
     @SerialName("reply")
     data class ReplyTo(val callId: Long, val reply: Reply) : ControlMessage
--- a/src/test/kotlin/dev/jackdawdale/control/ControlLoopTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/control/ControlLoopTest.kt
@@ -3,6 +3,7 @@
 import dev.jackdawdale.model.Answer
 import dev.jackdawdale.model.AttemptResult
 import dev.jackdawdale.model.HeldAttempt
+import dev.jackdawdale.model.HostId
 import dev.jackdawdale.model.Outcome
 import dev.jackdawdale.model.Refusal
 import dev.jackdawdale.model.WorkId
@@ -45,6 +46,19 @@
             link.replyTo(10).shouldBeInstanceOf<Reply.Work>()
         }
 
+        test("an entry host that searches learns at once that this host begins to lead") {
+            val cell = FakeCell()
+            cell.loop.lostLeadership(2)
+            val link = FakeLink(HostId("e9"))
+            cell.loop.received(link, EntryMessage.FindLeader)
+            link.sent shouldBe listOf(ControlMessage.NotLeader(HostId("c1")))
+            link.closed shouldBe false
+            cell.loop.becameLeader(3)
+            link.sent.last() shouldBe ControlMessage.Leads(3)
+            cell.loop.received(link, EntryMessage.FindLeader)
+            link.sent.last() shouldBe ControlMessage.Leads(3)
+        }
+
         test("a leader that lost its office answers nothing that was not committed") {
             val cell = FakeCell()
             val link = cell.ready()
--- a/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
@@ -35,6 +35,21 @@
             sent.calls.last().stepId shouldBe stepId("short")
         }
 
+        test("a long call does not take the only host from a short one") {
+            val sent = Sent()
+            sent.desk.want(stepId("long"), longTerms, workers, 0.0, 0)
+            sent.desk.want(stepId("short"), shortTerms, workers, 100.0, 0)
+            sent.desk.dispatch(listOf(hosts[0]), 0)
+            sent.calls.map { it.stepId } shouldBe listOf(stepId("short"))
+        }
+
+        test("a long call gets the only host when nothing short waits") {
+            val sent = Sent()
+            sent.desk.want(stepId("long"), longTerms, workers, 0.0, 0)
+            sent.desk.dispatch(listOf(hosts[0]), 0)
+            sent.calls.map { it.stepId } shouldBe listOf(stepId("long"))
+        }
+
         test("one host has one call at a time") {
             val sent = Sent()
             repeat(6) { sent.desk.want(stepId("s$it"), shortTerms, workers, it.toDouble(), 0) }
--- a/src/test/kotlin/dev/jackdawdale/replica/ReplicaTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/ReplicaTest.kt
@@ -1,5 +1,6 @@
 package dev.jackdawdale.replica
 
+import dev.jackdawdale.raft.RaftSettings
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -54,6 +55,28 @@
             cell.runUntil(5_000) { cell.allApplied(2) } shouldBe true
         }
 
+        test("a leader whose connections ended is replaced long before the election timeout") {
+            val cell = startedCell {
+                it.copy(raft = RaftSettings(electionTimeoutMs = 60_000, suspectAfterMs = 100))
+            }
+            val old = cell.leader!!
+            old.crash()
+            cell.nodes.values.forEach { it.replica?.connectionEnded(old.hostId, cell.nowMs) }
+            cell.runUntil(50_000) { cell.leader != null && cell.leader != old } shouldBe true
+        }
+
+        test("a leader that only lost its connections goes on leading") {
+            val cell = startedCell()
+            val old = cell.leader!!
+            val term = old.leadsTerm
+            repeat(20) {
+                cell.nodes.values.forEach { it.replica?.connectionEnded(old.hostId, cell.nowMs) }
+                cell.runFor(300)
+            }
+            cell.leader shouldBe old
+            old.leadsTerm shouldBe term
+        }
+
         test("a leader that is cut off stops leading and does not disturb the others") {
             val cell = startedCell()
             val old = cell.leader!!
--- a/src/test/kotlin/dev/jackdawdale/wire/ControlClientTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/wire/ControlClientTest.kt
@@ -11,6 +11,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
@@ -33,24 +34,58 @@
     FunSpec({
         test("the session goes to the host that a follower names") {
             val follower = leader("c1")
-            follower.onOpen = { ControlMessage.NotLeader(HostId("c3")) }
+            follower.onFind = { ControlMessage.NotLeader(HostId("c3")) }
             val wrong = leader("c2")
-            wrong.onOpen = { ControlMessage.NotLeader(null) }
+            wrong.onFind = { ControlMessage.NotLeader(null) }
             val leading = leader("c3")
             client(follower, wrong, leading).use { client ->
                 eventually(patience) { client.isOpen shouldBe true }
-                follower.opened.size shouldBe 1
+                follower.opened.size shouldBe 0
                 wrong.opened.size shouldBe 0
                 client.call(cancel) shouldBe Reply.Done
             }
             listOf(follower, wrong, leading).forEach { it.close() }
         }
 
+        test("a host that accepts connections and says nothing delays no session") {
+            ServerSocket(0).use { frozen ->
+                val leading = leader("c2")
+                val hosts = mapOf(
+                    HostId("c1") to PeerAddress("127.0.0.1", frozen.localPort),
+                    HostId("c2") to PeerAddress("127.0.0.1", leading.port)
+                )
+                val settings =
+                    loopbackPeer("h1").copy(controlHosts = hosts, handshakeTimeoutMs = 3_600_000)
+                val callbacks = ControlClientCallbacks({ emptyList() }, { }, { }, { })
+                controlClient(settings, callbacks).use { client ->
+                    client.start()
+                    eventually(patience) { client.isOpen shouldBe true }
+                }
+                leading.close()
+            }
+        }
+
+        test("a host that begins to lead gets the session") {
+            val first = leader("c1")
+            val second = leader("c2")
+            listOf(first, second).forEach { it.onFind = { ControlMessage.NotLeader(null) } }
+            client(first, second).use { client ->
+                eventually(patience) { (second.asked.get() > 0) shouldBe true }
+                second.onFind = { ControlMessage.Leads(2) }
+                eventually(patience) { client.isOpen shouldBe true }
+                first.opened.size shouldBe 0
+                second.opened.size shouldBe 1
+            }
+            listOf(first, second).forEach { it.close() }
+        }
+
         test("a leader of a lower term than seen gets no session") {
             val newer = leader("c1", term = 5)
             val older = leader("c2", term = 4)
+            older.onFind = { ControlMessage.NotLeader(null) }
             client(newer, older).use { client ->
                 eventually(patience) { client.isOpen shouldBe true }
+                older.onFind = { ControlMessage.Leads(older.term) }
                 newer.close()
                 eventually(patience) { (older.opened.size > 1) shouldBe true }
                 client.isOpen shouldBe false
