--- a/src/main/kotlin/dev/jackdawdale/raft/Membership.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/Membership.kt
@@ -24,7 +24,11 @@
 
 /** All members of the replicated log. */
 @Serializable
-internal data class Membership(val members: List<Member> = emptyList())
+internal data class Membership(val members: List<Member> = emptyList()) {
+    override fun toString(): String = members.joinToString {
+        "${it.hostId} (${it.replicaId}${if (it.voter) "" else ", learner"})"
+    }
+}
 
 internal val Membership.voters: List<Member> get() = members.filter { it.voter }
 
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftMessage.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftMessage.kt
@@ -144,7 +144,7 @@
 
 /**
  * [blank] means that the sender's folder holds neither an entry nor a term, [mayForm] that it may
- * start the first log of the cell.
+ * start the first log of the cell; [leader] lets replicas in.
  */
 @Serializable
 @SerialName("helloReply")
@@ -152,7 +152,8 @@
     override val from: ReplicaId,
     val hostId: HostId,
     val blank: Boolean,
-    val mayForm: Boolean = true
+    val mayForm: Boolean = true,
+    val leader: HostId? = null
 ) : RaftMessage
 
 /** Asks for records from [number] on; [offset] continues a record that did not fit. */
--- a/src/main/kotlin/dev/jackdawdale/replica/Joining.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Joining.kt
@@ -25,7 +25,14 @@
 
     private val answers = mutableMapOf<HostId, Answer>()
 
+    /** The leader need not be one of the configured hosts. */
+    private var leader: HostId? = null
+
+    /** Hosts that are asked to let this replica in. */
+    val asked: Set<HostId> get() = (hosts + listOfNotNull(leader)).toSet() - hostId
+
     fun onReply(reply: HelloReply, nowMs: Long) {
+        reply.leader?.let { leader = it }
         answers[reply.hostId] = Answer(reply.from, reply.blank, reply.mayForm, nowMs)
     }
 
--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -21,6 +21,9 @@
 import dev.jackdawdale.raft.step
 import dev.jackdawdale.storage.StorageError
 import dev.jackdawdale.storage.StorageWrite
+import org.apache.logging.log4j.LogManager
+
+private val log = LogManager.getLogger("dev.jackdawdale.replica")
 
 /**
  * One member of the replicated log. All functions are called on the control thread; times are
@@ -167,6 +170,9 @@
      */
     private fun run(input: RaftInput): List<RaftEffect> {
         val result = step(state, input, nowMs)
+        if (result.state.membership != state.membership) {
+            log.info("the members are now {}", result.state.membership)
+        }
         state = result.state
         result.effects.forEach(::prepare)
         flush()
@@ -261,7 +267,13 @@
 
     private fun onHello(from: HostId, message: Hello) {
         val reply =
-            HelloReply(state.self, settings.hostId, state.isBlank, settings.mayFormCell)
+            HelloReply(
+                state.self,
+                settings.hostId,
+                state.isBlank,
+                settings.mayFormCell,
+                leaderHost()
+            )
         callbacks.send(from, reply)
         val known = settings.admitsUnlisted ||
             from in settings.hosts ||
@@ -280,8 +292,7 @@
             run(RaftInput.Bootstrap(first))
         } else if (nowMs >= helloDueMs) {
             helloDueMs = nowMs + settings.helloEveryMs
-            val others = settings.hosts.filter { it != settings.hostId }
-            others.forEach { callbacks.send(it, Hello(state.self, settings.hostId)) }
+            joining.asked.forEach { callbacks.send(it, Hello(state.self, settings.hostId)) }
         }
     }
 
--- a/src/test/kotlin/dev/jackdawdale/replica/MembershipTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/MembershipTest.kt
@@ -58,6 +58,33 @@
             cell.runUntil(LIMIT_MS) { first.applied.size == 10 } shouldBe true
         }
 
+        test(
+            "a follower that lost its disk finds a leader that is not among the configured hosts"
+        ) {
+            val cell = TestCell(SEED, 5) {
+                it.copy(
+                    hosts = it.hosts.take(3),
+                    admitsUnlisted = true,
+                    raft = it.raft.copy(targetMembers = 5)
+                )
+            }
+            val seeds = cell.hostIds.take(3)
+            cell.startAll()
+            cell.runUntil(LIMIT_MS) { cell.voters().size == 5 } shouldBe true
+            while (cell.leader!!.hostId in seeds) {
+                val old = cell.leader!!
+                old.crash()
+                cell.runUntil(LIMIT_MS) { cell.leader != null } shouldBe true
+                old.start()
+                cell.runFor(1_000)
+            }
+            cell.proposeAll(10)
+            val lost = seeds.map(cell.nodes::getValue).take(2)
+            lost.forEach { it.loseDisk() }
+            lost.forEach { it.start() }
+            cell.runUntil(LIMIT_MS) { cell.voters() == cell.currentIdentities() } shouldBe true
+        }
+
         test("a second host can be lost right after the repair of the first") {
             val cell = startedCell()
             cell.proposeAll(10)
