Take messages that a leader sends before it accepts a session

A leader may dispatch to an entry host while the acceptance of its session still waits for its commit; since the session is chosen among several connections, what came before the acceptance was dropped, and that attempt hung until its deadline.

Ruled out: the frozen host in the search (another host's session stood).

Messages are taken from the connection that was chosen, accepted or not. At most one is chosen, as before.

--- a/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/ControlClient.kt
@@ -251,7 +251,8 @@
             is ControlMessage.Leads -> election.claimed(from, message.term)?.let(::open)
             is ControlMessage.NotLeader -> redirected(from, message.leader)
             is ControlMessage.SessionAccepted -> opened(from, message)
-            else -> if (session === from) received(message)
+            // A leader may dispatch before its acceptance is durable.
+            else -> if (election.isChosen(from)) received(message)
         }
     }
 
--- a/src/main/kotlin/dev/jackdawdale/wire/SessionElection.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/SessionElection.kt
@@ -43,6 +43,9 @@
         return claims.keys.filter { it !== candidate }
     }
 
+    @Synchronized
+    fun isChosen(candidate: C): Boolean = chosen === candidate
+
     /** The session to open instead of [candidate], whose connection has ended, or null. */
     @Synchronized
     fun ended(candidate: C): C? {
--- a/src/test/kotlin/dev/jackdawdale/wire/ControlClientTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/wire/ControlClientTest.kt
@@ -3,6 +3,7 @@
 import dev.jackdawdale.bench.LoopbackLeader
 import dev.jackdawdale.bench.loopbackPeer
 import dev.jackdawdale.model.CustomerId
+import dev.jackdawdale.model.FencingToken
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.model.Refusal
 import dev.jackdawdale.model.WorkId
@@ -12,6 +13,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import java.net.ServerSocket
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
@@ -65,6 +67,20 @@
             }
         }
 
+        test("a message that arrives before the acceptance is not lost") {
+            val leader = leader()
+            val early = ControlMessage.AttemptAcknowledged(WorkId("acme/r1"), FencingToken(1))
+            leader.onOpen = { early }
+            val received = CopyOnWriteArrayList<ControlMessage>()
+            val settings = loopbackPeer("h1", leader.port)
+            val callbacks = ControlClientCallbacks({ emptyList() }, { }, { }, { received += it })
+            controlClient(settings, callbacks).use { client ->
+                client.start()
+                eventually(patience) { received.firstOrNull() shouldBe early }
+            }
+            leader.close()
+        }
+
         test("a host that begins to lead gets the session") {
             val first = leader("c1")
             val second = leader("c2")
