Let the worker's lists settle a run whose repeated order was refused

Ruled out: a lapsed lease, a change of leader.

A refused repetition settles nothing by itself: after OLD_RUN and TOO_LATE the next lists decide, after other refusals the run is stopped first.

RepeatedOrderTest: 3 of 4 rows fail without the change, all pass with it.

--- a/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
@@ -64,7 +64,14 @@
                 if (run.start is StartState.Sent) {
                     link.update(run.copy(start = StartState.Confirmed(pass.nowMs)))
                 }
-            is StartResult.Refused -> refused(pass, link, start, result.refusal)
+            is StartResult.Refused -> {
+                refused(pass, link, start, result.refusal)
+                if (order.tries > 1) {
+                    settleRepeated(pass, link, run, result.refusal)
+                } else {
+                    neverRan(pass, start)
+                }
+            }
             StartResult.NotSent -> {
                 link.reachable = false
                 val mayHaveBeenSentBefore = order.tries > 1
@@ -96,7 +103,18 @@
             else -> Unit
         }
         pauseJob(start.taskId.stepId.jobId, pass.nowMs + REFUSED_PAUSE_MS)
-        neverRan(pass, start)
+    }
+
+    /**
+     * A repeated order was refused, and an earlier one without an answer may have had an effect.
+     * Where no order can have one any more the worker's next lists settle the run, else a stop.
+     */
+    private fun settleRepeated(pass: Pass, link: WorkerLink, run: HeldRun, refusal: StartRefusal) {
+        when (refusal) {
+            StartRefusal.OLD_RUN, StartRefusal.TOO_LATE ->
+                link.update(run.copy(stopAnsweredMs = run.stopAnsweredMs ?: pass.nowMs))
+            else -> context.wantStop(run.taskId, run.placement)
+        }
     }
 
     private fun neverRan(pass: Pass, start: StartOrder) =
