Settle no run from a full page of ends

A worker lists at most 500 ends at a time.

The decoder says when a page is full, and settling waits for the next.

SettlementTest and WireWorkerTest have a row each; the first fails without the condition.

--- a/src/main/kotlin/dev/jackdawdale/platform/WireWorker.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireWorker.kt
@@ -41,11 +41,13 @@
 /** Decodes a worker's lists. Throws [MalformedBody]; a row that cannot be read is left out. */
 internal fun decodeRunReport(bytes: ByteArray): RunReport {
     val fields = wireObject(bytes)
+    val ended = fields.arrayOrNull("endedRuns").orEmpty()
     return RunReport(
         boot = fields.longOrNull("born"),
         clockMs = fields.long("clockMs"),
         running = fields.arrayOrNull("running").orEmpty().mapNotNull { row(it, ::runningRow) },
-        ended = fields.arrayOrNull("endedRuns").orEmpty().mapNotNull { row(it, ::endedRow) }
+        ended = ended.mapNotNull { row(it, ::endedRow) },
+        hasMoreEnds = ended.size >= MAX_LISTED_ENDS
     )
 }
 
@@ -69,6 +71,8 @@
     )
 }
 
+/** A worker lists at most this many ends at a time, as the platform's protocol says. */
+private const val MAX_LISTED_ENDS = 500
 private const val END_KIND = 3
 private const val END_CHECKPOINT = 4
 
--- a/src/main/kotlin/dev/jackdawdale/push/Settlement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/Settlement.kt
@@ -25,7 +25,8 @@
  * A run that is not listed has ended only when no order for it can take effect any more: the order
  * has expired on the worker's clock, a stop for the run was accepted before the lists were asked
  * for, or the run had been confirmed before that. An order of an earlier leader cannot take effect
- * once the worker has answered in the present term.
+ * once the worker has answered in the present term. While the worker has more ends to list, a run
+ * that is not listed may be among them.
  *
  * Answers a load in which orders get no answer and are carried out seconds later.
  *
@@ -50,7 +51,7 @@
         when {
             end != null -> events += endOf(run, end)
             listed != null -> remaining[taskId] = run.confirmed(listed, nowMs)
-            run.cannotStart(report.clockMs, askedAtMs) ->
+            !report.hasMoreEnds && run.cannotStart(report.clockMs, askedAtMs) ->
                 events += StagedEvent.RunEnded(taskId, number, run.resultUnlisted, run.checkpoint)
             else -> remaining[taskId] = run
         }
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerCalls.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerCalls.kt
@@ -76,12 +76,17 @@
     val checkpoint: String
 )
 
-/** What a worker says it runs. */
+/**
+ * What a worker says it runs.
+ *
+ * @property hasMoreEnds there may be ends that this report leaves out
+ */
 internal data class RunReport(
     val boot: Long?,
     val clockMs: Long,
     val running: List<ListedRun>,
-    val ended: List<EndedRun>
+    val ended: List<EndedRun>,
+    val hasMoreEnds: Boolean = false
 )
 
 /**
--- a/src/test/kotlin/dev/jackdawdale/platform/WireWorkerTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/platform/WireWorkerTest.kt
@@ -49,4 +49,16 @@
             report.running.map { it.taskId.index } shouldBe listOf(2)
             report.ended.map { it.end } shouldBe listOf(ListedEnd.DONE)
         }
+
+        context("a full page of ends leaves out the ones after it") {
+            withData(
+                mapOf("499 ends" to (499 to false), "500 ends" to (500 to true))
+            ) { (count, hasMoreEnds) ->
+                val rows = (1..count).joinToString(",") { """[$it,"a.0.1.$it",1,"done",""]""" }
+                val report =
+                    decodeRunReport("""{"clockMs":5,"endedRuns":[$rows]}""".encodeToByteArray())
+                report.ended.size shouldBe count
+                report.hasMoreEnds shouldBe hasMoreEnds
+            }
+        }
     })
--- a/src/test/kotlin/dev/jackdawdale/push/SettlementTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/SettlementTest.kt
@@ -102,6 +102,12 @@
             }
         }
 
+        test("a run is settled although its end may be among those that are listed later") {
+            val run = held(StartState.Confirmed(ASKED_AT_MS - 1))
+            settle(run, report().copy(hasMoreEnds = true)).events shouldBe emptyList()
+            settle(run, report()).events.size shouldBe 1
+        }
+
         test("the end of an older run does not end the present one") {
             val end = EndedRun(7, task, 1, ListedEnd.DONE, "")
             val run = held(StartState.Sent(WORKER_CLOCK_MS))
