--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/push/LeaderPlay.kt
@@ -0,0 +1,81 @@
+package dev.jackdawdale.push
+
+import dev.jackdawdale.control.ControlSettings
+import dev.jackdawdale.control.Pass
+import dev.jackdawdale.control.softState
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.Event
+import dev.jackdawdale.model.EventBatch
+import dev.jackdawdale.model.apply
+import dev.jackdawdale.staged.PushWorker
+import dev.jackdawdale.staged.QueueSpec
+import dev.jackdawdale.staged.StagedEvent
+import dev.jackdawdale.staged.StagedJobSpec
+import dev.jackdawdale.staged.StagedState
+import dev.jackdawdale.staged.StepSpec
+import dev.jackdawdale.telemetry.DecisionLog
+import org.apache.logging.log4j.LogManager
+
+internal const val PLAY_JOB = "5c0e7a21d94b36f8"
+private const val START_MS = 100_000L
+internal val playQueue = QueueSpec("plans", "host", "/plans/", "planning", maxAttempts = 2)
+internal val playWorker = PushWorker(
+    "w1",
+    boot = 1,
+    address = "127.0.0.1:1",
+    service = "planning",
+    failureDomain = "local",
+    cpuMillis = 64_000,
+    memoryMib = 64_000,
+    accelerators = 0,
+    labels = listOf("a", "r1")
+)
+
+/** The job [PLAY_JOB] with one step. */
+internal fun acceptedJob(step: StepSpec) = StagedEvent.JobAccepted(
+    StagedJobSpec(PLAY_JOB, playQueue.name, "payload", listOf(step)),
+    playQueue
+)
+
+/**
+ * A leader of [term] over what [events] of earlier leaders made; a test drives its passes.
+ *
+ * @param passMs time from one pass to the next
+ */
+internal class LeaderPlay(
+    term: Long,
+    events: List<StagedEvent>,
+    calls: WorkerCalls,
+    private val passMs: Long = 0
+) {
+    var nowMs = START_MS
+        private set
+    private var state = CellState().apply(EventBatch(nowMs, events.map { Event.Staged(it) })).state
+    private val actions = ArrayDeque<(Pass) -> Unit>()
+    private val leader = StagedLeader(
+        term,
+        state.staged,
+        PushSettings(),
+        LeaderSurroundings(
+            calls,
+            submit = { actions += it },
+            quorumHeardMs = { nowMs },
+            clock = { nowMs },
+            callingHosts = { emptySet() },
+            askAdvice = { false }
+        ),
+        DecisionLog(LogManager.getLogger("test")),
+        nowMs
+    )
+
+    val staged: StagedState get() = state.staged
+
+    fun passes(count: Int) = repeat(count) {
+        nowMs += passMs
+        val pass = Pass(state, softState(state, nowMs, ControlSettings()), nowMs)
+        repeat(actions.size) { actions.removeFirst()(pass) }
+        leader.decide(pass)
+        state = pass.state
+        pass.effects.forEach { it() }
+    }
+}
--- a/src/test/kotlin/dev/jackdawdale/push/RepeatedOrderTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/RepeatedOrderTest.kt
@@ -1,69 +1,24 @@
 package dev.jackdawdale.push
 
-import dev.jackdawdale.control.ControlSettings
-import dev.jackdawdale.control.Pass
-import dev.jackdawdale.control.softState
-import dev.jackdawdale.model.CellState
-import dev.jackdawdale.model.Event
-import dev.jackdawdale.model.EventBatch
 import dev.jackdawdale.model.Resources
-import dev.jackdawdale.model.apply
 import dev.jackdawdale.staged.JobOutcome
-import dev.jackdawdale.staged.PushWorker
-import dev.jackdawdale.staged.QueueSpec
 import dev.jackdawdale.staged.StageTaskId
 import dev.jackdawdale.staged.StagedEvent
-import dev.jackdawdale.staged.StagedJobSpec
 import dev.jackdawdale.staged.StepId
 import dev.jackdawdale.staged.StepSpec
 import dev.jackdawdale.staged.job
-import dev.jackdawdale.telemetry.DecisionLog
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
-import org.apache.logging.log4j.LogManager
 
-private const val JOB = "5c0e7a21d94b36f8"
-private const val START_MS = 100_000L
 private const val PASS_MS = 20L
-private val taskId = StageTaskId(StepId(JOB, 0, 0), 0)
+private val taskId = StageTaskId(StepId(PLAY_JOB, 0, 0), 0)
 private val lost = StartResult.Unknown("no answer")
-private val queue = QueueSpec("plans", "host", "/plans/", "planning", maxAttempts = 2)
-private val worker = PushWorker(
-    "w1",
-    boot = 1,
-    address = "127.0.0.1:1",
-    service = "planning",
-    failureDomain = "local",
-    cpuMillis = 64_000,
-    memoryMib = 64_000,
-    accelerators = 0,
-    labels = listOf("a", "r1")
-)
 
 /** A leader with one worker that answers start orders as [answers] say, the last one for ever. */
 private class OrderPlay(private val answers: List<StartResult>, private val end: EndedRun?) {
     val startedRuns = ArrayList<Int>()
     val stoppedRuns = ArrayList<Int>()
-    private var nowMs = START_MS
-    private var state = CellState().apply(
-        EventBatch(
-            START_MS,
-            listOf(
-                StagedEvent.WorkerReported(worker),
-                StagedEvent.JobAccepted(
-                    StagedJobSpec(
-                        JOB,
-                        queue.name,
-                        "payload",
-                        listOf(StepSpec(taskCount = 1, perTask = Resources(1_000, 64)))
-                    ),
-                    queue
-                )
-            ).map { Event.Staged(it) }
-        )
-    ).state
-    private val actions = ArrayDeque<(Pass) -> Unit>()
     private val calls = WorkerCalls(
         start = { _, order, onResult ->
             startedRuns += order.run
@@ -73,36 +28,25 @@
             stoppedRuns += run
             onResult(StopResult.ACCEPTED)
         },
-        report = { _, _, onResult ->
-            val ended = if (startedRuns.isEmpty()) emptyList() else listOfNotNull(end)
-            onResult(ReportResult.Reported(RunReport(1, nowMs, emptyList(), ended)))
-        }
+        report = { _, _, onResult -> onResult(ReportResult.Reported(report())) }
     )
-    private val leader = StagedLeader(
+    private val play = LeaderPlay(
         term = 1,
-        state.staged,
-        PushSettings(),
-        LeaderSurroundings(
-            calls,
-            submit = { actions += it },
-            quorumHeardMs = { nowMs },
-            clock = { nowMs },
-            callingHosts = { emptySet() },
-            askAdvice = { false }
+        listOf(
+            StagedEvent.WorkerReported(playWorker),
+            acceptedJob(StepSpec(taskCount = 1, perTask = Resources(1_000, 64)))
         ),
-        DecisionLog(LogManager.getLogger("test")),
-        START_MS
+        calls,
+        PASS_MS
     )
 
-    val outcome: JobOutcome? get() = state.staged.job(JOB)?.outcome
+    val outcome: JobOutcome? get() = play.staged.job(PLAY_JOB)?.outcome
+
+    fun passes(count: Int) = play.passes(count)
 
-    fun passes(count: Int) = repeat(count) {
-        nowMs += PASS_MS
-        val pass = Pass(state, softState(state, nowMs, ControlSettings()), nowMs)
-        repeat(actions.size) { actions.removeFirst()(pass) }
-        leader.decide(pass)
-        state = pass.state
-        pass.effects.forEach { it() }
+    private fun report(): RunReport {
+        val ended = if (startedRuns.isEmpty()) emptyList() else listOfNotNull(end)
+        return RunReport(1, play.nowMs, emptyList(), ended)
     }
 }
 
