--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -46,14 +46,15 @@
 private const val SNAPSHOT_EVERY_BYTES = 8L * 1024 * 1024
 private const val RETAINED_BYTES = 2L * 1024 * 1024
 
-/** A connection may fall silent without an error; it is replaced within the election timeout. */
+/** A connection may fall silent without an error; it is replaced soon after the next election. */
 private const val PEER_HEARTBEAT_MS = 100L
 private const val PEER_SILENCE_MS = 450L
 private const val SESSION_SILENCE_MS = 450L
 private const val CONFIGURATION_EVERY_MS = 100L
 
-/** A host that is frozen accepts connections and does not answer on them. */
 private const val CONNECT_TIMEOUT_MS = 300L
+
+/** A host that is frozen accepts connections and does not answer on them. */
 private const val HANDSHAKE_TIMEOUT_MS = 300L
 
 /**
--- a/src/main/kotlin/dev/jackdawdale/wire/KnownHosts.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/KnownHosts.kt
@@ -3,10 +3,7 @@
 import dev.jackdawdale.model.HostId
 
 /** The control hosts that are asked for the leader. Safe to use from any thread. */
-internal class KnownHosts(
-    configured: List<HostId>,
-    private val isReachable: (HostId) -> Boolean = { false }
-) {
+internal class KnownHosts(configured: List<HostId>, private val isReachable: (HostId) -> Boolean) {
     @Volatile
     var hosts: List<HostId> = configured
         private set
