--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/push/AdvisedCell.kt
@@ -0,0 +1,199 @@
+package dev.jackdawdale.push
+
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.Resources
+import dev.jackdawdale.model.minus
+import dev.jackdawdale.model.plus
+import dev.jackdawdale.staged.AdviceResult
+import dev.jackdawdale.staged.PushWorker
+import dev.jackdawdale.staged.StageTaskId
+import dev.jackdawdale.staged.StagedEvent
+import dev.jackdawdale.staged.StagedJob
+import dev.jackdawdale.staged.StagedJobSpec
+import dev.jackdawdale.staged.StagedState
+import dev.jackdawdale.staged.counted
+import dev.jackdawdale.staged.job
+import java.util.PriorityQueue
+import kotlin.math.abs
+
+private const val PASS_MS = 15L
+private const val COMMIT_MS = 12L
+private const val NETWORK_MS = 2L
+private const val ADVISER_WAY_MS = 100L
+private const val PERCENT = 100
+
+/** What a simulated worker reads from a ticket: the step, and the end of its validity. */
+private data class TicketText(val stepId: String, val validUntilMs: Long) {
+    val text get() = "$stepId@$validUntilMs"
+}
+
+/**
+ * A leader with simulated workers and a simulated adviser, in simulated time.
+ *
+ * The adviser handles one call at a time for each calling host and gives tickets that lapse. A
+ * worker starts whatever it is told, refuses a lapsed ticket, and lists its ends.
+ *
+ * @param allowedPercent share of the workers that the policy of a queue allows, by its name
+ * @param runMs how long a task works, by its id
+ */
+internal class AdvisedCell(
+    workers: List<PushWorker>,
+    callingHosts: Int,
+    private val allowedPercent: Map<String, Int>,
+    private val runMs: (StageTaskId) -> Long
+) {
+    private val agenda = PriorityQueue<Due>(compareBy({ it.atMs }, { it.number }))
+    private var lastNumber = 0L
+    private val hosts = List(callingHosts) { HostId("h$it") }
+    private val busyUntilMs = HashMap<HostId, Long>()
+    private val simulated = workers.associate { it.workerId to SimulatedWorker(it) }
+    private val queueOf = HashMap<String, String>()
+    private val play = LeaderPlay(
+        term = 1,
+        workers.map { StagedEvent.WorkerReported(it) },
+        WorkerCalls(::start, ::stop, ::report),
+        PASS_MS,
+        COMMIT_MS,
+        hosts.toSet(),
+        ::askAdvice
+    )
+
+    /** Starts that brought a worker over its capacity. */
+    var overfilled = 0
+        private set
+    var refusedTickets = 0
+        private set
+    var adviceCalls = 0
+        private set
+    val nowMs: Long get() = play.nowMs
+    val staged: StagedState get() = play.staged
+
+    fun job(jobId: String): StagedJob? = staged.job(jobId)
+
+    fun submit(job: StagedEvent.JobAccepted) {
+        queueOf[job.spec.jobId] = job.spec.queue
+        play.accept(job)
+    }
+
+    /** Lets [forMs] pass. */
+    fun advance(forMs: Long) {
+        val untilMs = nowMs + forMs
+        while (nowMs < untilMs) {
+            while (agenda.isNotEmpty() && agenda.peek().atMs <= nowMs) agenda.poll().action()
+            play.passes(1)
+        }
+    }
+
+    private fun after(delayMs: Long, action: () -> Unit) {
+        agenda += Due(nowMs + delayMs, lastNumber++, action)
+    }
+
+    private fun askAdvice(call: AdviceCall): Boolean {
+        adviceCalls++
+        val beginMs = maxOf(nowMs + ADVISER_WAY_MS, busyUntilMs[call.hostId] ?: 0)
+        val endMs = beginMs + costMs(call.terms, call.asked.size).toLong()
+        busyUntilMs[call.hostId] = endMs
+        val percent = allowedPercent.getValue(queueOf.getValue(call.stepId.jobId))
+        val ticket = TicketText(call.stepId.toString(), endMs + call.terms.validMs)
+        val given = call.asked.filter { candidate ->
+            abs((call.stepId to candidate.workerId).hashCode() % PERCENT) < percent
+        }
+        after(endMs + ADVISER_WAY_MS - nowMs) {
+            val tickets = given.associate { it.workerId to ticket.text }
+            play.adviceAnswered(call, AdviceResult.Given(tickets))
+        }
+        return true
+    }
+
+    private fun start(worker: PushWorker, order: StartOrder, onResult: (StartResult) -> Unit) =
+        after(NETWORK_MS) {
+            val result = simulated.getValue(worker.workerId).start(order)
+            after(NETWORK_MS) { onResult(result) }
+        }
+
+    private fun stop(
+        worker: PushWorker,
+        taskId: StageTaskId,
+        run: Int,
+        @Suppress("UNUSED_PARAMETER") term: Long,
+        onResult: (StopResult) -> Unit
+    ) = after(NETWORK_MS) {
+        simulated.getValue(worker.workerId).end(taskId, run, ListedEnd.STOPPED)
+        after(NETWORK_MS) { onResult(StopResult.ACCEPTED) }
+    }
+
+    private fun report(
+        worker: PushWorker,
+        question: ReportQuestion,
+        onResult: (ReportResult) -> Unit
+    ) = after(NETWORK_MS) {
+        simulated.getValue(worker.workerId).report(question) { report ->
+            after(NETWORK_MS) { onResult(ReportResult.Reported(report)) }
+        }
+    }
+
+    private class Due(val atMs: Long, val number: Long, val action: () -> Unit)
+
+    private inner class SimulatedWorker(worker: PushWorker) {
+        private val capacity = Resources(worker.cpuMillis, worker.memoryMib)
+        private val boot = worker.boot
+        private var used = Resources()
+        private val running = LinkedHashMap<StageTaskId, Running>()
+        private val ended = ArrayList<EndedRun>()
+        private var lastEnd = 0L
+        private var waiting: ((RunReport) -> Unit)? = null
+
+        fun start(order: StartOrder): StartResult {
+            if (nowMs > order.ticket.substringAfterLast('@').toLong()) {
+                refusedTickets++
+                return StartResult.Refused(StartRefusal.NO_TICKET)
+            }
+            val spec = checkNotNull(job(order.taskId.stepId.jobId))
+                .spec.steps[order.taskId.stepId.step]
+            val run = Running(order.run, nowMs, runMs(order.taskId), spec.counted)
+            running[order.taskId] = run
+            used += run.counted
+            if (used.cpuMillis > capacity.cpuMillis || used.memoryMib > capacity.memoryMib) {
+                overfilled++
+            }
+            after(run.runMs) { end(order.taskId, order.run, ListedEnd.DONE) }
+            return StartResult.Started
+        }
+
+        fun end(taskId: StageTaskId, number: Int, how: ListedEnd) {
+            val run = running[taskId]?.takeIf { it.number == number } ?: return
+            running.remove(taskId)
+            used -= run.counted
+            ended += EndedRun(++lastEnd, taskId, number, how, "")
+            waiting?.invoke(lists())
+            waiting = null
+        }
+
+        fun report(question: ReportQuestion, answer: (RunReport) -> Unit) {
+            ended.removeIf { it.number <= question.acknowledgedEnd }
+            if (ended.isNotEmpty() || question.waitMs == 0L) return answer(lists())
+            waiting = answer
+            after(question.waitMs) {
+                if (waiting === answer) {
+                    waiting = null
+                    answer(lists())
+                }
+            }
+        }
+
+        private fun lists(): RunReport {
+            val listed = running.map { (taskId, run) ->
+                val percent = (nowMs - run.startedMs) * PERCENT / run.runMs.coerceAtLeast(1)
+                ListedRun(taskId, run.number, "", percent.toInt().coerceAtMost(PERCENT))
+            }
+            return RunReport(boot, nowMs, listed, ended.toList())
+        }
+    }
+
+    private class Running(
+        val number: Int,
+        val startedMs: Long,
+        val runMs: Long,
+        val counted: Resources
+    )
+}
--- a/src/test/kotlin/dev/jackdawdale/push/LeaderPlay.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/LeaderPlay.kt
@@ -6,7 +6,9 @@
 import dev.jackdawdale.model.CellState
 import dev.jackdawdale.model.Event
 import dev.jackdawdale.model.EventBatch
+import dev.jackdawdale.model.HostId
 import dev.jackdawdale.model.apply
+import dev.jackdawdale.staged.AdviceResult
 import dev.jackdawdale.staged.PushWorker
 import dev.jackdawdale.staged.QueueSpec
 import dev.jackdawdale.staged.StagedEvent
@@ -41,17 +43,22 @@
  * A leader of [term] over what [events] of earlier leaders made; a test drives its passes.
  *
  * @param passMs time from one pass to the next
+ * @param commitMs time until what a pass decided is durable
  */
 internal class LeaderPlay(
     term: Long,
     events: List<StagedEvent>,
     calls: WorkerCalls,
-    private val passMs: Long = 0
+    private val passMs: Long = 0,
+    private val commitMs: Long = 0,
+    callingHosts: Set<HostId> = emptySet(),
+    askAdvice: (AdviceCall) -> Boolean = { false }
 ) {
     var nowMs = START_MS
         private set
     private var state = CellState().apply(EventBatch(nowMs, events.map { Event.Staged(it) })).state
     private val actions = ArrayDeque<(Pass) -> Unit>()
+    private val uncommitted = ArrayDeque<Pair<Long, Pass>>()
     private val leader = StagedLeader(
         term,
         state.staged,
@@ -61,8 +68,8 @@
             submit = { actions += it },
             quorumHeardMs = { nowMs },
             clock = { nowMs },
-            callingHosts = { emptySet() },
-            askAdvice = { false }
+            callingHosts = { callingHosts },
+            askAdvice = askAdvice
         ),
         DecisionLog(LogManager.getLogger("test")),
         nowMs
@@ -70,12 +77,29 @@
 
     val staged: StagedState get() = state.staged
 
+    /** Accepts a job in the next pass. */
+    fun accept(job: StagedEvent.JobAccepted) {
+        actions += { pass -> leader.emit(pass, job) }
+    }
+
+    fun adviceAnswered(call: AdviceCall, result: AdviceResult) {
+        actions += { pass -> leader.adviceAnswered(pass, call.hostId, call.callId, result) }
+    }
+
     fun passes(count: Int) = repeat(count) {
         nowMs += passMs
+        commit()
         val pass = Pass(state, softState(state, nowMs, ControlSettings()), nowMs)
         repeat(actions.size) { actions.removeFirst()(pass) }
         leader.decide(pass)
         state = pass.state
-        pass.effects.forEach { it() }
+        uncommitted += nowMs + commitMs to pass
+        commit()
+    }
+
+    private fun commit() {
+        while (uncommitted.isNotEmpty() && uncommitted.first().first <= nowMs) {
+            uncommitted.removeFirst().second.effects.forEach { it() }
+        }
     }
 }
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/push/MixedLoad.kt
@@ -0,0 +1,124 @@
+package dev.jackdawdale.push
+
+import dev.jackdawdale.model.Resources
+import dev.jackdawdale.staged.AdviceTerms
+import dev.jackdawdale.staged.JobOutcome
+import dev.jackdawdale.staged.QueueSpec
+import dev.jackdawdale.staged.StagedEvent
+import dev.jackdawdale.staged.StagedJob
+import dev.jackdawdale.staged.StagedJobSpec
+import dev.jackdawdale.staged.StepSpec
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.math.sqrt
+import kotlin.random.Random
+import kotlin.random.asJavaRandom
+
+private const val STEP_MS = 15L
+private const val MS_PER_S = 1_000
+
+/**
+ * One kind of job in a simulated load; widths, sizes and times are spread around their means.
+ *
+ * @property perS jobs a second
+ * @property allowedPercent share of the workers that the queue's policy allows
+ */
+internal class JobKind(
+    val queue: QueueSpec,
+    val perS: Double,
+    val steps: Double,
+    val width: Double,
+    val maxWidth: Int,
+    val cpuMillis: Double,
+    val memoryMib: Double,
+    val runMs: Double,
+    val gangShare: Double,
+    val allowedPercent: Int
+)
+
+internal fun queue(name: String, stretch: Double, targetMs: Long, advice: AdviceTerms) =
+    playQueue.copy(
+        name = name,
+        maxAttempts = 3,
+        stretch = stretch,
+        targetLatencyMs = targetMs,
+        advice = advice
+    )
+
+/** How the jobs of one kind came out. */
+internal data class Served(val jobs: Int, val onTime: Int, val unfinished: List<String>)
+
+/** Sends seeded jobs of several kinds to a simulated cell for a while. */
+internal class MixedLoad(private val kinds: List<JobKind>, seed: Int) {
+    private val random = Random(seed)
+    private val runTimes = HashMap<String, Long>()
+    private val kindOf = LinkedHashMap<String, JobKind>()
+    private val objectives = HashMap<String, Long>()
+    private var number = 0
+
+    fun allowedPercent(): Map<String, Int> =
+        kinds.associate { it.queue.name to it.allowedPercent }
+
+    /** How long a task works; the tasks of a job differ little. */
+    fun runMs(jobId: String): Long = runTimes.getValue(jobId)
+
+    fun run(cell: AdvisedCell, forMs: Long) {
+        val untilMs = cell.nowMs + forMs
+        while (cell.nowMs < untilMs) {
+            for (kind in kinds) {
+                if (random.nextDouble() < kind.perS * STEP_MS / MS_PER_S) submit(cell, kind)
+            }
+            cell.advance(STEP_MS)
+        }
+    }
+
+    fun outcomes(cell: AdvisedCell): Map<String, Served> =
+        kindOf.entries.groupBy({ it.value.queue.name }, { it.key }).mapValues { (_, jobIds) ->
+            val jobs = jobIds.map { checkNotNull(cell.job(it)) { "job $it is not known" } }
+            val done = jobs.filter { it.outcome == JobOutcome.COMPLETED }
+            val onTime = done.count { job ->
+                checkNotNull(job.endedAtMs) - job.acceptedAtMs <= objectives.getValue(job.spec.jobId)
+            }
+            Served(jobs.size, onTime, jobs.filter { it.outcome == null }.map { it.spec.jobId })
+        }
+
+    private fun submit(cell: AdvisedCell, kind: JobKind) {
+        val jobId = "${kind.queue.name}${number++}"
+        val steps = if (random.nextDouble() < kind.steps - 1) 2 else 1
+        val gang = random.nextDouble() < kind.gangShare
+        val runMs = spread(kind.runMs, RUN_SPREAD).toLong().coerceAtLeast(MIN_RUN_MS)
+        runTimes[jobId] = runMs
+        kindOf[jobId] = kind
+        val specs = List(steps) { number ->
+            StepSpec(
+                spread(kind.width, WIDTH_SPREAD).toInt().coerceIn(1, kind.maxWidth),
+                Resources(
+                    spread(kind.cpuMillis, SIZE_SPREAD).toLong().coerceAtMost(MAX_CPU_MILLIS),
+                    spread(kind.memoryMib, SIZE_SPREAD).toLong().coerceAtMost(MAX_MEMORY_MIB)
+                ),
+                estimatedMs = (runMs * spread(1.0, ESTIMATE_SPREAD)).toLong(),
+                after = if (number > 0) listOf(number - 1) else emptyList(),
+                gang = gang
+            )
+        }
+        val spec = StagedJobSpec(jobId, kind.queue.name, "payload", specs)
+        objectives[jobId] = StagedJob(spec, kind.queue, acceptedAtMs = 0).objectiveMs()
+        cell.submit(StagedEvent.JobAccepted(spec, kind.queue))
+    }
+
+    /** A log-normal value with the given mean. */
+    private fun spread(mean: Double, spread: Double): Double {
+        val sigma = sqrt(ln(1 + spread * spread))
+        return mean * exp(sigma * random.asJavaRandom().nextGaussian() - sigma * sigma / 2)
+    }
+
+    private companion object {
+        const val RUN_SPREAD = 0.5
+        const val WIDTH_SPREAD = 0.8
+        const val SIZE_SPREAD = 0.4
+        const val ESTIMATE_SPREAD = 0.3
+        const val MIN_RUN_MS = 50L
+        const val MAX_CPU_MILLIS = 30_000L
+        const val MAX_MEMORY_MIB = 51_000L
+    }
+}
