Leave lines about successful runs out of the log first

Cause: the leader's decision lines are bounded to 400 a second.

Change: a line can be minor. Minor lines are written up to half of the bound; lines about runs that SUCCEEDED are minor. The bound is unchanged.

Conclusion: no number of successful runs displaces the other lines while these stay under half of the bound.

--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -7,6 +7,7 @@
 import dev.jackdawdale.staged.JobOutcome
 import dev.jackdawdale.staged.PushWorker
 import dev.jackdawdale.staged.RunPlacement
+import dev.jackdawdale.staged.RunResult
 import dev.jackdawdale.staged.StagedEvent
 import dev.jackdawdale.staged.StagedState
 import dev.jackdawdale.staged.counted
@@ -109,7 +110,8 @@
 
     private fun logEnd(pass: Pass, event: StagedEvent.RunEnded, outcomeBefore: JobOutcome?) {
         val jobId = event.taskId.stepId.jobId
-        context.decisions.line(pass.nowMs, jobId) {
+        val minor = event.result == RunResult.SUCCEEDED
+        context.decisions.line(pass.nowMs, jobId, minor) {
             "run ${event.run} of ${event.taskId}: ${event.result}"
         }
         val job = pass.state.staged.job(jobId) ?: return
--- a/src/main/kotlin/dev/jackdawdale/telemetry/DecisionLog.kt
+++ b/src/main/kotlin/dev/jackdawdale/telemetry/DecisionLog.kt
@@ -6,6 +6,9 @@
 private const val LINES_PER_S = 400
 private const val MS_PER_S = 1_000
 
+/** Minor lines are written up to this part of the bound. */
+private const val MINOR_PART = 2
+
 /**
  * Writes one line for each decision about a piece of work, bounded for each second. What exceeds
  * the bound is counted, and the count is written with the next second. Used on one thread.
@@ -15,13 +18,17 @@
     private var written = 0
     private var dropped = 0
 
-    /** Writes [text] with the id of the work it is about. */
-    fun line(nowMs: Long, work: String, text: () -> String) {
-        if (!take(nowMs)) return
+    /**
+     * Writes [text] with the id of the work it is about.
+     *
+     * @param minor the line is left out first: it leaves a part of the bound to the others
+     */
+    fun line(nowMs: Long, work: String, minor: Boolean = false, text: () -> String) {
+        if (!take(nowMs, if (minor) linesPerS / MINOR_PART else linesPerS)) return
         withLogFields(work = work) { log.info(text()) }
     }
 
-    private fun take(nowMs: Long): Boolean {
+    private fun take(nowMs: Long, bound: Int): Boolean {
         val present = nowMs / MS_PER_S
         if (present != second) {
             if (dropped > 0) log.warn("{} decision lines were left out in one second", dropped)
@@ -29,7 +36,7 @@
             written = 0
             dropped = 0
         }
-        if (written < linesPerS) {
+        if (written < bound) {
             written++
             return true
         }
