Explain in the log why a step waits

Cause: a job that was accepted and not placed had no line between its advice and its end, and lines about it were left out with those about other work.

Change: once a second the leader writes one line for each of the 20 steps that wait longest: since when, for how many tasks, and the reason with its inputs (paused, no answer of the adviser, tickets missing, no room), where its call for advice stands, and how far the last answer served the choice of workers in the pass that took it. The reason is a pure function of these inputs. The lines have a bound of their own. Placement and calls for advice are unchanged.

--- a/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
@@ -33,6 +33,9 @@
     val tickets = HashMap<String, Ticket>()
     var wanted: List<Candidate> = emptyList()
     var inFlight = false
+    var calls = 0
+    var lastAsked: List<Candidate> = emptyList()
+    var answeredAtMs = Long.MIN_VALUE
 }
 
 /**
@@ -49,6 +52,12 @@
     private val busy = HashMap<HostId, AdviceCall>()
     private var nextCallId = 1L
 
+    val callsUnderWay: Int get() = calls.size
+
+    /** Calls that were answered or given up. */
+    var callsDone = 0L
+        private set
+
     /** True when the step has been asked about and the answer has come. */
     fun isAnswered(stepId: StepId): Boolean = steps[stepId]?.asked?.isNotEmpty() ?: false
 
@@ -130,16 +139,20 @@
         calls[call.callId] = call
         busy[hostId] = call
         step.inFlight = true
+        step.calls++
     }
 
     /** Takes an answer and returns its call, or null for a call that was given up. */
     fun answered(hostId: HostId, callId: Long, result: AdviceResult, nowMs: Long): AdviceCall? {
         val call = calls.remove(callId) ?: return null
+        callsDone++
         if (busy[hostId] === call) busy.remove(hostId)
         val step = steps[call.stepId] ?: return call
         step.inFlight = false
         if (result !is AdviceResult.Given) return call
         step.asked += call.asked
+        step.lastAsked = call.asked
+        step.answeredAtMs = nowMs
         step.wanted = emptyList()
         for (candidate in call.asked) {
             val ticket = result.tickets[candidate.workerId] ?: continue
@@ -152,10 +165,31 @@
         return call
     }
 
+    /** The workers of the answer that came at [nowMs], or null when none came then. */
+    fun askedInAnswerAt(stepId: StepId, nowMs: Long): List<Candidate>? =
+        steps[stepId]?.takeIf { it.answeredAtMs == nowMs }?.lastAsked
+
+    /** What is known about the step, for the log. */
+    fun facts(stepId: StepId, nowMs: Long): AdviceFacts {
+        val step = steps[stepId] ?: return AdviceFacts()
+        return AdviceFacts(
+            asked = step.asked.size,
+            ticketed = step.tickets.values.count { it.validUntilMs > nowMs },
+            underWay = step.inFlight,
+            behind = if (step.wanted.isEmpty()) {
+                null
+            } else {
+                steps.values.count { it.goesBefore(step) }
+            },
+            calls = step.calls
+        )
+    }
+
     private fun expire(nowMs: Long) {
         val late = calls.values.filter { nowMs > it.dueAtMs }
         late.forEach {
             calls.remove(it.callId)
+            callsDone++
             if (busy[it.hostId] === it) busy.remove(it.hostId)
             steps[it.stepId]?.inFlight = false
         }
@@ -170,6 +204,9 @@
     }
 }
 
+private fun StepAdvice.goesBefore(other: StepAdvice): Boolean =
+    wanted.isNotEmpty() && !inFlight && rank < other.rank
+
 private val StepAdvice.isLong: Boolean get() = costMs(terms, wanted.size) > LONG_CALL_MS
 
 private val AdviceCall.isLong: Boolean get() = costMs(terms, asked.size) > LONG_CALL_MS
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -22,6 +22,7 @@
 internal class StepPlacement(private val context: LeaderContext) {
     private val ready = HashMap<String, List<ReadyStep>>()
     private val notBeforeMs = HashMap<String, Long>()
+    val waits = StepWaits()
 
     /** Carries out what was placed; set once, as orders and placements need each other. */
     lateinit var orders: RunOrders
@@ -41,6 +42,7 @@
             notBeforeMs.remove(jobId)
         }
         if (steps.isEmpty()) ready.remove(jobId) else ready[jobId] = steps
+        waits.waiting(jobId, steps.map { it.id }, context.around.clock())
     }
 
     /** Places what waits, the most urgent first, and asks for advice where it is missing. */
@@ -58,17 +60,40 @@
             place(pass, step, usable[step.job.terms.service].orEmpty(), reserved)
         }
         context.desk.dispatch(context.around.callingHosts(), nowMs)
+        if (waits.isDue(nowMs)) {
+            ready.values.flatten().forEach { findPaused(it, nowMs) }
+            waits.report(nowMs) { context.desk.facts(it, nowMs) }
+        }
+    }
+
+    private fun findPaused(step: ReadyStep, nowMs: Long) {
+        val pausedForMs = (notBeforeMs[step.id.jobId] ?: 0) - nowMs
+        if (pausedForMs <= 0) return
+        waits.found(step.id, step.facts().copy(pausedForMs = pausedForMs)) { 0 }
     }
 
+    private fun ReadyStep.facts() = WaitFacts(
+        waiting = waiting.size,
+        tasks = step.tasks.size,
+        gang = spec.gang,
+        advice = job.terms.advice?.let { AdviceFacts() }
+    )
+
     private fun place(pass: Pass, step: ReadyStep, usable: List<WorkerLink>, reserved: Reserved) {
         val nowMs = pass.nowMs
         val terms = step.job.terms.advice
-        if (terms != null && !context.desk.isAnswered(step.id)) return want(step, usable, nowMs)
+        if (terms != null && !context.desk.isAnswered(step.id)) {
+            if (waits.isDue(nowMs)) {
+                waits.found(step.id, step.facts().copy(usable = usable.size)) { 0 }
+            }
+            return want(step, usable, nowMs)
+        }
         val allowed = usable.filter { terms == null || context.desk.allows(step.id, it.candidate) }
         val rooms = allowed.map { it.room(step, reserved, nowMs) }
         val tasks = step.waiting.map { WaitingTask(it, step.step.tasks[it].failedOn) }
         val chosen = chooseWorkers(step.spec, tasks, rooms)
         val unticketed = chosen.filterValues { !hasTicket(step, it, nowMs) }
+        explain(step, Choice(tasks, rooms, chosen, unticketed), usable.size, nowMs)
         if (unticketed.isNotEmpty()) {
             want(step, unticketed.values.distinct().map(context.links::getValue), nowMs)
         } else if (chosen.size < tasks.size) {
@@ -90,6 +115,29 @@
         }
     }
 
+    /** Keeps what the log tells about a step that goes on waiting. */
+    private fun explain(step: ReadyStep, choice: Choice, usable: Int, nowMs: Long) {
+        val chosen = choice.chosen.values.toSet()
+        val missing = choice.unticketed.values.toSet()
+        context.desk.askedInAnswerAt(step.id, nowMs)?.let { asked ->
+            val ids = asked.mapTo(HashSet()) { it.workerId }
+            val use = AnswerUse(chosen.size, missing.size, missing.count { it !in ids })
+            waits.answerUsed(step.id, use)
+        }
+        if (!waits.isDue(nowMs)) return
+        val placed = if (step.spec.gang) 0 else choice.chosen.size - choice.unticketed.size
+        val facts = step.facts().copy(
+            waiting = step.waiting.size - placed,
+            usable = usable,
+            allowed = choice.rooms.size,
+            chosen = chosen.size,
+            missing = missing.size
+        )
+        waits.found(step.id, facts) {
+            chooseWorkers(step.spec.copy(gang = false), choice.tasks, choice.rooms).size - placed
+        }
+    }
+
     private fun want(step: ReadyStep, workers: List<WorkerLink>, nowMs: Long) {
         val terms = step.job.terms.advice ?: return
         context.desk.want(step.id, terms, workers.map { it.candidate }, step.rank(nowMs), nowMs)
@@ -167,6 +215,14 @@
     }
 }
 
+/** The choice of workers for a step in one pass. */
+private class Choice(
+    val tasks: List<WaitingTask>,
+    val rooms: List<WorkerRoom>,
+    val chosen: Map<Int, String>,
+    val unticketed: Map<Int, String>
+)
+
 /** Room that steps of higher rank keep for themselves within one pass. */
 private class Reserved {
     private val byWorker = HashMap<String, Resources>()
--- a/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
@@ -101,4 +101,31 @@
             val late = AdviceResult.Given(mapOf("w1" to "late"))
             sent.desk.answered(hosts[0], sent.calls[0].callId, late, 10_001) shouldBe null
         }
+
+        test("the log tells of a call under way when it is still queued") {
+            val sent = Sent()
+            repeat(3) { sent.desk.want(stepId("s$it"), shortTerms, workers, it.toDouble(), 0) }
+            sent.desk.dispatch(listOf(hosts[0]), 0)
+            val first = sent.desk.facts(stepId("s0"), 0)
+            first.underWay shouldBe true
+            first.calls shouldBe 1
+            val last = sent.desk.facts(stepId("s2"), 0)
+            last.underWay shouldBe false
+            last.behind shouldBe 1
+            last.calls shouldBe 0
+        }
+
+        test("the log counts lapsed tickets as held") {
+            val sent = Sent()
+            sent.desk.want(stepId("s"), shortTerms, workers, 0.0, 0)
+            sent.desk.dispatch(hosts, 0)
+            val call = sent.calls.single()
+            val tickets = AdviceResult.Given(mapOf("w0" to "t", "w1" to "t"))
+            sent.desk.answered(call.hostId, call.callId, tickets, 10)
+            sent.desk.facts(stepId("s"), 20).ticketed shouldBe 2
+            sent.desk.facts(stepId("s"), 2_500).ticketed shouldBe 0
+            sent.desk.facts(stepId("s"), 2_500).asked shouldBe 3
+            sent.desk.callsDone shouldBe 1
+            sent.desk.callsUnderWay shouldBe 0
+        }
     })
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/push/WaitReasonTest.kt
@@ -0,0 +1,90 @@
+package dev.jackdawdale.push
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.shouldBe
+
+private val step = WaitFacts(waiting = 20, tasks = 20, gang = true, usable = 100)
+
+private class Row(
+    val mistakenFor: String,
+    val facts: WaitFacts,
+    val reason: WaitReason,
+    val text: String
+)
+
+class WaitReasonTest :
+    FunSpec({
+        withData(
+            nameFn = { "the step is not explained by ${it.mistakenFor}" },
+            Row(
+                "missing tickets while it is paused",
+                step.copy(
+                    pausedForMs = 40,
+                    chosen = 20,
+                    missing = 3,
+                    advice = AdviceFacts(asked = 100)
+                ),
+                WaitReason.PAUSED,
+                "paused for 40 ms after a refusal"
+            ),
+            Row(
+                "a lack of room before the adviser answered",
+                step.copy(advice = AdviceFacts(behind = 7)),
+                WaitReason.NO_ANSWER,
+                "no answer of the adviser yet, 100 workers to ask about, " +
+                    "call behind 7 steps, 0 calls made"
+            ),
+            Row(
+                "the adviser when it needs no advice",
+                step.copy(allowed = 100),
+                WaitReason.NO_ROOM,
+                "no room: 12 tasks fit on 100 allowed of 100 workers"
+            ),
+            Row(
+                "missing tickets when the gang does not fit",
+                step.copy(
+                    allowed = 31,
+                    advice = AdviceFacts(asked = 100, ticketed = 4, calls = 2)
+                ),
+                WaitReason.NO_ROOM,
+                "no room: 12 tasks fit on 31 allowed of 100 workers, 100 asked, " +
+                    "no call wanted, 2 calls made"
+            ),
+            Row(
+                "a lack of room when workers are chosen",
+                step.copy(
+                    allowed = 31,
+                    chosen = 20,
+                    missing = 11,
+                    advice = AdviceFacts(
+                        asked = 100,
+                        ticketed = 14,
+                        underWay = true,
+                        calls = 6,
+                        lastAnswer = AnswerUse(chosen = 20, missing = 5, notAsked = 3)
+                    )
+                ),
+                WaitReason.NO_TICKETS,
+                "tickets missing: 11 of 20 chosen workers, 14 of 31 allowed hold one, " +
+                    "call under way, 6 calls made; " +
+                    "after the last answer 5 of 20 missing, 3 not asked"
+            ),
+            Row(
+                "a lack of room when some of the tasks fit and lack tickets",
+                step.copy(
+                    gang = false,
+                    allowed = 31,
+                    chosen = 4,
+                    missing = 4,
+                    advice = AdviceFacts(asked = 100, behind = 0, calls = 1)
+                ),
+                WaitReason.NO_TICKETS,
+                "tickets missing: 4 of 4 chosen workers, 0 of 31 allowed hold one, " +
+                    "call behind 0 steps, 1 calls made"
+            )
+        ) {
+            it.facts.reason() shouldBe it.reason
+            it.facts.describe { 12 } shouldBe it.text
+        }
+    })
