Sum up waiting steps, advice calls and pass cost in the load line

Cause: the load line of every 5 s said how many steps wait, but not for what, and whether the adviser or the control thread was the limit.

Change: it adds the waiting steps by reason, the advice calls under way and done, the hosts that call, and the number, mean and greatest cost of the passes since the last line.

Conclusion: one line tells which limit to look at.

--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -28,6 +28,7 @@
 import dev.jackdawdale.settings.Settings
 import dev.jackdawdale.storage.StorageError
 import dev.jackdawdale.storage.replicaFolder
+import dev.jackdawdale.telemetry.PassCost
 import dev.jackdawdale.wire.ControlMessage
 import dev.jackdawdale.wire.ControlSession
 import dev.jackdawdale.wire.PeerCallbacks
@@ -99,6 +100,7 @@
         )
     )
 
+    private val passCost = PassCost()
     private val staged: StagedControl? = workerCalls?.let {
         StagedControl(
             pushSettings,
@@ -108,7 +110,8 @@
                 quorumHeardMs = { logStatus().quorumHeardAtMs },
                 clock = clock,
                 callingHosts = { loop.callingHosts },
-                askAdvice = ::askAdvice
+                askAdvice = ::askAdvice,
+                passCost = passCost
             )
         )
     }
@@ -120,7 +123,12 @@
         records = recordAccess(records, recordReader, control),
         clock = clock,
         wakeUp = ::schedulePass,
-        observer = observer,
+        observer = observer.copy(
+            passFinished = { nanos ->
+                passCost.add(nanos)
+                observer.passFinished(nanos)
+            }
+        ),
         extension = staged?.extension ?: ControlExtension()
     )
 
--- a/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
@@ -6,6 +6,7 @@
 import dev.jackdawdale.staged.StageTaskId
 import dev.jackdawdale.staged.StagedEvent
 import dev.jackdawdale.telemetry.DecisionLog
+import dev.jackdawdale.telemetry.PassCost
 
 /**
  * What the leader needs of its surroundings. All but [submit] are called on the control thread.
@@ -13,6 +14,7 @@
  * @property submit decides an action in the next pass while this replica leads; any thread
  * @property quorumHeardMs when a quorum was heard last
  * @property callingHosts entry hosts that can ask the adviser
+ * @property passCost what the passes of the control loop cost
  */
 internal class LeaderSurroundings(
     val calls: WorkerCalls,
@@ -20,7 +22,8 @@
     val quorumHeardMs: () -> Long,
     val clock: () -> Long,
     val callingHosts: () -> Set<HostId>,
-    val askAdvice: (AdviceCall) -> Boolean
+    val askAdvice: (AdviceCall) -> Boolean,
+    val passCost: PassCost = PassCost()
 )
 
 /** What the parts of a leader share. Used on the control thread only. */
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -173,16 +173,25 @@
         if (pass.nowMs < forgetDueMs) return
         forgetDueMs = pass.nowMs + FORGET_EVERY_MS
         reports.logCounts()
-        log.info(
-            "{} jobs active, {} steps waiting",
-            pass.state.staged.active.size,
-            placement.waitingSteps
-        )
+        logLoad(pass.state.staged.active.size)
         val beforeMs = pass.nowMs - settings.endedKeepMs
         val oldest = pass.state.staged.ended.values.firstOrNull()?.endedAtMs ?: return
         if (oldest < beforeMs) emit(pass, StagedEvent.JobsForgotten(beforeMs))
     }
 
+    private fun logLoad(active: Int) {
+        val byReason = WaitReason.entries.joinToString {
+            "${placement.waits.byReason[it] ?: 0} ${it.name.lowercase()}"
+        }
+        val desk = context.desk
+        val hosts = context.around.callingHosts().size
+        log.info(
+            "$active jobs active, ${placement.waitingSteps} steps waiting ($byReason), " +
+                "advice calls: ${desk.callsUnderWay} under way, ${desk.callsDone} done, " +
+                "$hosts hosts; ${context.around.passCost.take()}"
+        )
+    }
+
     private companion object {
         const val FORGET_EVERY_MS = 5_000L
     }
