--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -7,6 +7,7 @@
 import dev.jackdawdale.staged.JobOutcome
 import dev.jackdawdale.staged.PushWorker
 import dev.jackdawdale.staged.RunPlacement
+import dev.jackdawdale.staged.RunResult
 import dev.jackdawdale.staged.StagedEvent
 import dev.jackdawdale.staged.StagedState
 import dev.jackdawdale.staged.counted
@@ -109,7 +110,8 @@
 
     private fun logEnd(pass: Pass, event: StagedEvent.RunEnded, outcomeBefore: JobOutcome?) {
         val jobId = event.taskId.stepId.jobId
-        context.decisions.line(pass.nowMs, jobId) {
+        val minor = event.result == RunResult.SUCCEEDED
+        context.decisions.line(pass.nowMs, jobId, minor) {
             "run ${event.run} of ${event.taskId}: ${event.result}"
         }
         val job = pass.state.staged.job(jobId) ?: return
@@ -171,16 +173,25 @@
         if (pass.nowMs < forgetDueMs) return
         forgetDueMs = pass.nowMs + FORGET_EVERY_MS
         reports.logCounts()
-        log.info(
-            "{} jobs active, {} steps waiting",
-            pass.state.staged.active.size,
-            placement.waitingSteps
-        )
+        logLoad(pass.state.staged.active.size)
         val beforeMs = pass.nowMs - settings.endedKeepMs
         val oldest = pass.state.staged.ended.values.firstOrNull()?.endedAtMs ?: return
         if (oldest < beforeMs) emit(pass, StagedEvent.JobsForgotten(beforeMs))
     }
 
+    private fun logLoad(active: Int) {
+        val byReason = WaitReason.entries.joinToString {
+            "${placement.waits.byReason[it] ?: 0} ${it.name.lowercase()}"
+        }
+        val desk = context.desk
+        val hosts = context.around.callingHosts().size
+        log.info(
+            "$active jobs active, ${placement.waitingSteps} steps waiting ($byReason), " +
+                "advice calls: ${desk.callsUnderWay} under way, ${desk.callsDone} done, " +
+                "$hosts hosts; ${context.around.passCost.take()}"
+        )
+    }
+
     private companion object {
         const val FORGET_EVERY_MS = 5_000L
     }
