Renew the tickets of a step together and keep its room during a call

What callers saw: on both grown sites accepted jobs of the widest kind never ran (LOST), and too few of that kind were served in time (SHORT, plate-build).

Cause: a gang starts only when all its workers hold a valid ticket in the same pass, and nothing made that happen. - One call about a step was under way at a time, and it was about the tickets that had lapsed by then. A call for the widest kind takes 0.7 s or more and a ticket serves for 1.3 s, so with three groups of tickets one had always lapsed. - No room was kept while a call was under way. Other steps took it, so the next choice held workers without a ticket, and another group began. - The first call was about the first 100 workers in the order of a map, for every step, with room or not, so wide steps met on the same workers and needed up to three calls one after the other.

Fix: a call renews all tickets of the chosen workers that would lapse before its answer; the room of these workers stays reserved until then; workers with a valid ticket are chosen first; more than 100 workers are split into calls at the same time. A step asks about as many workers as it is likely to need: those with room for it, for a long call the emptiest ones, as others take the fullest before the answer. A call ends when its host's session does. Room for each worker is computed once a step, not once a task.

--- a/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
@@ -26,18 +26,26 @@
  * What is known of one step.
  *
  * @property allowed workers that the policy allows, among [asked]; this never changes
+ * @property callsUnderWay calls that have been sent and not answered
  */
 private class StepAdvice(val terms: AdviceTerms, var rank: Double) {
     val asked = HashSet<Candidate>()
     val allowed = HashSet<Candidate>()
     val tickets = HashMap<String, Ticket>()
     var wanted: List<Candidate> = emptyList()
-    var inFlight = false
+    var callsUnderWay = 0
     var calls = 0
     var lastAsked: List<Candidate> = emptyList()
     var answeredAtMs = Long.MIN_VALUE
 }
 
+/** How many of the workers that were asked about a policy allows. */
+private class AllowedCount(var asked: Int = PRIOR_ASKED, var allowed: Int = PRIOR_ALLOWED)
+
+/** Before the first answer, half of the workers are taken to be allowed. */
+private const val PRIOR_ASKED = 10
+private const val PRIOR_ALLOWED = 5
+
 /**
  * Asks the adviser which workers may run a step, as one server with several doors: it handles one
  * call at a time for each calling host, so calls are spread over the hosts, the most urgent first,
@@ -50,6 +58,7 @@
     private val steps = HashMap<StepId, StepAdvice>()
     private val calls = HashMap<Long, AdviceCall>()
     private val busy = HashMap<HostId, AdviceCall>()
+    private val counts = HashMap<AdviceTerms, AllowedCount>()
     private var nextCallId = 1L
 
     val callsUnderWay: Int get() = calls.size
@@ -61,6 +70,9 @@
     /** True when the step has been asked about and the answer has come. */
     fun isAnswered(stepId: StepId): Boolean = steps[stepId]?.asked?.isNotEmpty() ?: false
 
+    /** True while a call about the step has no answer yet. */
+    fun isUnderWay(stepId: StepId): Boolean = (steps[stepId]?.callsUnderWay ?: 0) > 0
+
     /** The ticket for [workerId], or null when there is none that still serves at [untilMs]. */
     fun ticket(stepId: StepId, workerId: String, boot: Long, untilMs: Long): Ticket? =
         steps[stepId]?.tickets?.get(workerId)
@@ -75,6 +87,11 @@
     fun allows(stepId: StepId, candidate: Candidate): Boolean =
         steps[stepId]?.allowed?.contains(candidate) ?: false
 
+    /** Share of the workers that policies with [terms] have allowed so far, more than 0. */
+    fun allowedShare(terms: AdviceTerms): Double =
+        counts[terms]?.let { it.allowed.toDouble() / it.asked }
+            ?: (PRIOR_ALLOWED.toDouble() / PRIOR_ASKED)
+
     /** A worker refused the ticket. */
     fun dropTicket(stepId: StepId, workerId: String) {
         steps[stepId]?.tickets?.remove(workerId)
@@ -86,8 +103,8 @@
     }
 
     /**
-     * Wants valid tickets of [candidates] for the step. Workers that the policy is known to refuse
-     * are left out.
+     * Wants tickets of [candidates] that are valid at the same time. Workers that the policy is
+     * known to refuse are left out, and those whose ticket outlives the calls that this takes.
      *
      * @param rank the least goes first
      */
@@ -100,37 +117,49 @@
     ) {
         val step = steps.getOrPut(stepId) { StepAdvice(terms, rank) }
         step.rank = rank
+        val callMs = costMs(terms, minOf(candidates.size, MAX_WORKERS)).toLong()
         step.wanted = candidates.filter { it !in step.asked || it in step.allowed }
-            .filter { ticket(stepId, it.workerId, it.boot, nowMs + RENEW_BEFORE_MS) == null }
-            .take(MAX_WORKERS)
+            .filter { ticket(stepId, it.workerId, it.boot, nowMs + callMs + WAY_MS) == null }
     }
 
-    /** Sends the calls that are due, at most one to each of [hosts]. */
+    /**
+     * Sends the calls that are due, at most one to each of [hosts]. The workers of one step are
+     * split into calls of equal length, so that their tickets are of about the same age.
+     */
     fun dispatch(hosts: Collection<HostId>, nowMs: Long) {
-        expire(nowMs)
+        expire(hosts, nowMs)
         val free = hosts.filter { it !in busy }.toMutableList()
         if (free.isEmpty()) return
-        val due = steps.entries.filter { it.value.wanted.isNotEmpty() && !it.value.inFlight }
-            .sortedBy { it.value.rank }
+        val due = steps.entries.filter { (_, step) ->
+            step.wanted.isNotEmpty() && step.callsUnderWay == 0
+        }.sortedBy { it.value.rank }
         val shortIsDue = due.any { !it.value.isLong }
         val longHosts = if (shortIsDue) hosts.size / 2 else (hosts.size + 1) / 2
         var longRoom = longHosts - busy.values.count { it.isLong }
         for ((stepId, step) in due) {
             val isLong = step.isLong
-            if (isLong && longRoom <= 0) continue
-            val hostId = free.removeFirstOrNull() ?: return
-            if (isLong) longRoom--
-            start(hostId, stepId, step, nowMs)
+            for (asked in step.wanted.inCalls()) {
+                if (isLong && longRoom <= 0) break
+                val hostId = free.removeFirstOrNull() ?: return
+                if (isLong) longRoom--
+                start(hostId, stepId, step, asked, nowMs)
+            }
         }
     }
 
-    private fun start(hostId: HostId, stepId: StepId, step: StepAdvice, nowMs: Long) {
-        val costMs = costMs(step.terms, step.wanted.size)
+    private fun start(
+        hostId: HostId,
+        stepId: StepId,
+        step: StepAdvice,
+        asked: List<Candidate>,
+        nowMs: Long
+    ) {
+        val costMs = costMs(step.terms, asked.size)
         val call = AdviceCall(
             nextCallId++,
             hostId,
             stepId,
-            step.wanted,
+            asked,
             step.terms,
             nowMs,
             nowMs + (ANSWER_FACTOR * costMs).toLong() + ANSWER_SLACK_MS
@@ -138,7 +167,7 @@
         if (!send(call)) return
         calls[call.callId] = call
         busy[hostId] = call
-        step.inFlight = true
+        step.callsUnderWay++
         step.calls++
     }
 
@@ -148,14 +177,18 @@
         callsDone++
         if (busy[hostId] === call) busy.remove(hostId)
         val step = steps[call.stepId] ?: return call
-        step.inFlight = false
+        step.callsUnderWay--
         if (result !is AdviceResult.Given) return call
-        step.asked += call.asked
         step.lastAsked = call.asked
         step.answeredAtMs = nowMs
-        step.wanted = emptyList()
+        val count = counts.getOrPut(call.terms) { AllowedCount() }
         for (candidate in call.asked) {
-            val ticket = result.tickets[candidate.workerId] ?: continue
+            val ticket = result.tickets[candidate.workerId]
+            if (step.asked.add(candidate)) {
+                count.asked++
+                if (ticket != null) count.allowed++
+            }
+            if (ticket == null) continue
             step.allowed += candidate
             // The ticket is as old as the answer's way, which ends no earlier than the call began.
             val givenMs = nowMs - minOf(nowMs - call.sentAtMs, MAX_ANSWER_DELAY_MS)
@@ -175,7 +208,7 @@
         return AdviceFacts(
             asked = step.asked.size,
             ticketed = step.tickets.values.count { it.validUntilMs > nowMs },
-            underWay = step.inFlight,
+            underWay = step.callsUnderWay > 0,
             behind = if (step.wanted.isEmpty()) {
                 null
             } else {
@@ -185,35 +218,48 @@
         )
     }
 
-    private fun expire(nowMs: Long) {
-        val late = calls.values.filter { nowMs > it.dueAtMs }
-        late.forEach {
+    /** Gives up calls that are overdue, and those of hosts that cannot answer any more. */
+    private fun expire(hosts: Collection<HostId>, nowMs: Long) {
+        val lost = calls.values.filter { nowMs > it.dueAtMs || it.hostId !in hosts }
+        lost.forEach {
             calls.remove(it.callId)
             callsDone++
             if (busy[it.hostId] === it) busy.remove(it.hostId)
-            steps[it.stepId]?.inFlight = false
+            steps[it.stepId]?.let { step -> step.callsUnderWay-- }
         }
     }
 
     private companion object {
-        const val MAX_WORKERS = 100
         const val ANSWER_FACTOR = 3.0
         const val ANSWER_SLACK_MS = 400L
-        const val RENEW_BEFORE_MS = 250L
+
+        /** Time for the way of a call through its host and back, and for the order after it. */
+        const val WAY_MS = 400L
         const val MAX_ANSWER_DELAY_MS = 50L
     }
 }
 
+/** The adviser takes at most this many workers in a call. */
+private const val MAX_WORKERS = 100
+
+private fun List<Candidate>.inCalls(): List<List<Candidate>> {
+    val calls = (size + MAX_WORKERS - 1) / MAX_WORKERS
+    return chunked((size + calls - 1) / calls)
+}
+
 private fun StepAdvice.goesBefore(other: StepAdvice): Boolean =
-    wanted.isNotEmpty() && !inFlight && rank < other.rank
+    wanted.isNotEmpty() && callsUnderWay == 0 && rank < other.rank
 
-private val StepAdvice.isLong: Boolean get() = costMs(terms, wanted.size) > LONG_CALL_MS
+private val StepAdvice.isLong: Boolean get() = costMs(terms, minOf(wanted.size, MAX_WORKERS)) > LONG_CALL_MS
 
 private val AdviceCall.isLong: Boolean get() = costMs(terms, asked.size) > LONG_CALL_MS
 
 /** A call that takes longer than this must leave hosts free for short calls. */
 private const val LONG_CALL_MS = 150.0
 
+/** Whether a call about one worker alone is long. */
+internal fun isLongCall(terms: AdviceTerms): Boolean = costMs(terms, 1) > LONG_CALL_MS
+
 /** How long the adviser takes for one call. */
 internal fun costMs(terms: AdviceTerms, workers: Int): Double =
     terms.decisionMs + terms.perWorkerMs * workers
--- a/src/main/kotlin/dev/jackdawdale/push/ChooseWorkers.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/ChooseWorkers.kt
@@ -11,6 +11,7 @@
  *
  * @property suspect its last runs failed, so it is used last
  * @property ofStep tasks of the step that already hold room there
+ * @property ticketed an order to start there needs no further advice
  */
 internal data class WorkerRoom(
     val workerId: String,
@@ -18,7 +19,8 @@
     val labels: List<String>,
     val free: Resources,
     val suspect: Boolean = false,
-    val ofStep: Int = 0
+    val ofStep: Int = 0,
+    val ticketed: Boolean = true
 )
 
 /** One task that waits, and the workers on which it failed before. */
@@ -28,16 +30,15 @@
  * Chooses a worker for each task, or for as many as fit. A gang gets all its workers or none.
  *
  * Tasks go to the fullest worker that holds them, so that large tasks find whole workers. Workers
- * near the data go first, suspect ones and those on which the task failed last.
+ * near the data go first, then those that need no further advice; suspect ones and those on which
+ * the task failed go last.
  */
 internal fun chooseWorkers(
     spec: StepSpec,
     tasks: List<WaitingTask>,
     rooms: List<WorkerRoom>
 ): Map<Int, String> {
-    val fitting = rooms.filter {
-        spec.requiredLabel.isEmpty() || spec.requiredLabel in it.labels
-    }
+    val fitting = rooms.filter { it.hasLabelFor(spec) }
     if (spec.gang && spec.oneRack) {
         val within = fitting.groupBy { it.rack }.values
             .map { fillWorkers(spec, tasks, it) }
@@ -55,25 +56,86 @@
     rooms: List<WorkerRoom>
 ): Map<Int, String> {
     val need = spec.counted
-    val open = rooms.toMutableList()
+    val open = rooms.filter { it.hasLabelFor(spec) && it.slots(spec) > 0 }
+        .sortedWith(preference(spec))
+        .toMutableList()
     val chosen = LinkedHashMap<Int, String>()
     for (task in tasks) {
-        val best = open.indices.filter { open[it].takes(spec, need) }
-            .minWithOrNull(preference(spec, task, open)) ?: continue
+        // A worker that takes a task becomes fuller and stays the preferred one until it is full.
+        val best = open.indexOfFirst { it.workerId !in task.failedOn }.takeIf { it >= 0 }
+            ?: open.indices.firstOrNull()
+            ?: break
         val room = open[best]
         chosen[task.index] = room.workerId
-        open[best] = room.copy(free = room.free - need, ofStep = room.ofStep + 1)
+        val left = room.copy(free = room.free - need, ofStep = room.ofStep + 1)
+        if (left.slots(spec) > 0) open[best] = left else open.removeAt(best)
     }
     return chosen
 }
 
-private fun preference(spec: StepSpec, task: WaitingTask, open: List<WorkerRoom>): Comparator<Int> =
-    compareBy(
-        { open[it].workerId in task.failedOn },
-        { open[it].suspect },
-        { spec.dataRack.isNotEmpty() && spec.dataRack !in open[it].labels },
-        { open[it].free.cpuMillis }
-    )
+private fun preference(spec: StepSpec): Comparator<WorkerRoom> = compareBy(
+    { it.suspect },
+    { spec.dataRack.isNotEmpty() && spec.dataRack !in it.labels },
+    { !it.ticketed },
+    { it.free.cpuMillis }
+)
+
+internal fun WorkerRoom.hasLabelFor(spec: StepSpec): Boolean =
+    spec.requiredLabel.isEmpty() || spec.requiredLabel in labels
+
+/** How many tasks of the step the worker can take. */
+internal fun WorkerRoom.slots(spec: StepSpec): Int {
+    val need = spec.counted
+    val byRoom = listOf(
+        slots(free.cpuMillis, need.cpuMillis),
+        slots(free.memoryMib, need.memoryMib),
+        slots(free.accelerators, need.accelerators)
+    ).min()
+    val byLimit = if (spec.maxPerWorker > 0) spec.maxPerWorker - ofStep else Int.MAX_VALUE
+    return minOf(byRoom, byLimit).coerceAtLeast(0)
+}
+
+private fun slots(free: Long, need: Long): Int =
+    if (need <= 0) Int.MAX_VALUE else (free / need).coerceIn(0, MAX_SLOTS).toInt()
+
+private const val MAX_SLOTS = 1_000_000L
+
+/**
+ * Chooses the workers to ask the adviser about, enough for [tasks] tasks when the policy allows
+ * [allowedShare] of them. Workers without room come last, and only if the others do not suffice.
+ *
+ * While a long call is under way, other steps take the room on the fullest workers, so a long call
+ * is about the emptiest ones. Steps that ask at the same time ask about different workers.
+ */
+internal fun chooseAsked(
+    spec: StepSpec,
+    tasks: Int,
+    rooms: List<WorkerRoom>,
+    allowedShare: Double,
+    isLong: Boolean,
+    seed: Int
+): List<WorkerRoom> {
+    val needed = tasks / allowedShare * ASK_MARGIN + MIN_ASKED
+    val byRoom = rooms.filter { it.hasLabelFor(spec) }
+        .map { Triple(it, it.slots(spec), (it.workerId.hashCode() xor seed) * HASH_FACTOR) }
+        .sortedWith(
+            compareBy(
+                { it.first.suspect },
+                { spec.dataRack.isNotEmpty() && spec.dataRack !in it.first.labels },
+                { it.second == 0 },
+                { if (isLong) -it.second else it.second },
+                { it.third }
+            )
+        )
+    var slots = 0.0
+    return byRoom.takeWhile { (_, ofWorker, _) ->
+        val isOpen = slots < needed
+        slots += ofWorker.coerceIn(1, tasks)
+        isOpen
+    }.map { it.first }
+}
 
-private fun WorkerRoom.takes(spec: StepSpec, need: Resources): Boolean =
-    need.fitsInto(free) && (spec.maxPerWorker <= 0 || ofStep < spec.maxPerWorker)
+/** Room that is asked about beyond the expected need: shares vary, and others take some of it. */
+private const val ASK_MARGIN = 1.5
+private const val MIN_ASKED = 4
+private const val HASH_FACTOR = -0x61c88647
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -6,11 +6,14 @@
 import dev.jackdawdale.model.minus
 import dev.jackdawdale.model.plus
 import dev.jackdawdale.staged.AdviceResult
+import dev.jackdawdale.staged.AdviceTerms
 import dev.jackdawdale.staged.PlacedTask
 import dev.jackdawdale.staged.RunPlacement
 import dev.jackdawdale.staged.StageTaskId
 import dev.jackdawdale.staged.StagedEvent
 import dev.jackdawdale.staged.StagedState
+import dev.jackdawdale.staged.StepId
+import dev.jackdawdale.staged.StepSpec
 import dev.jackdawdale.staged.counted
 import dev.jackdawdale.staged.job
 import dev.jackdawdale.staged.rack
@@ -22,6 +25,9 @@
 internal class StepPlacement(private val context: LeaderContext) {
     private val ready = HashMap<String, List<ReadyStep>>()
     private val notBeforeMs = HashMap<String, Long>()
+
+    /** The workers that steps count on while a call to the adviser is under way. */
+    private val plans = HashMap<StepId, Collection<String>>()
     val waits = StepWaits()
 
     /** Carries out what was placed; set once, as orders and placements need each other. */
@@ -53,6 +59,9 @@
             .sortedBy { it.rank(nowMs) }
         context.desk.beginPass()
         val reserved = Reserved()
+        waiting.forEach { step ->
+            plans[step.id]?.let { reserved.add(it, step.spec.counted) }
+        }
         val usable = context.links.values.filter {
             it.isUsable(nowMs)
         }.groupBy { it.worker.service }
@@ -60,6 +69,7 @@
             place(pass, step, usable[step.job.terms.service].orEmpty(), reserved)
         }
         context.desk.dispatch(context.around.callingHosts(), nowMs)
+        plans.keys.retainAll(context.desk::isUnderWay)
         if (waits.isDue(nowMs)) {
             ready.values.flatten().forEach { findPaused(it, nowMs) }
             waits.report(nowMs) { context.desk.facts(it, nowMs) }
@@ -80,39 +90,37 @@
     )
 
     private fun place(pass: Pass, step: ReadyStep, usable: List<WorkerLink>, reserved: Reserved) {
-        val nowMs = pass.nowMs
-        val terms = step.job.terms.advice
-        if (terms != null && !context.desk.isAnswered(step.id)) {
-            if (waits.isDue(nowMs)) {
-                waits.found(step.id, step.facts().copy(usable = usable.size)) { 0 }
+        // The room that the call under way is about stays reserved until its answer.
+        if (context.desk.isUnderWay(step.id)) {
+            if (waits.isDue(pass.nowMs)) {
+                val facts = step.facts().copy(usable = usable.size, isCalling = true)
+                waits.found(step.id, facts) { 0 }
             }
-            return want(step, usable, nowMs)
+            return
         }
+        plans.remove(step.id)?.let { reserved.remove(it, step.spec.counted) }
+        val nowMs = pass.nowMs
+        val terms = step.job.terms.advice
         val allowed = usable.filter { terms == null || context.desk.allows(step.id, it.candidate) }
         val rooms = allowed.map { it.room(step, reserved, nowMs) }
         val tasks = step.waiting.map { WaitingTask(it, step.step.tasks[it].failedOn) }
-        val chosen = chooseWorkers(step.spec, tasks, rooms)
-        val unticketed = chosen.filterValues { !hasTicket(step, it, nowMs) }
-        explain(step, Choice(tasks, rooms, chosen, unticketed), usable.size, nowMs)
-        if (unticketed.isNotEmpty()) {
-            want(step, unticketed.values.distinct().map(context.links::getValue), nowMs)
-        } else if (chosen.size < tasks.size) {
-            want(step, usable.filter { !context.desk.wasAsked(step.id, it.candidate) }, nowMs)
-        }
-        if (step.spec.gang) {
-            if (chosen.isNotEmpty() && unticketed.isEmpty()) {
-                commitPlacement(pass, step, chosen)
-            } else if (chosen.isNotEmpty()) {
-                reserved.add(chosen.values, step.spec.counted)
-            } else if (step.latestStartMs - nowMs < RESERVE_BEFORE_MS) {
-                val partial = fillWorkers(step.spec, tasks, rooms)
-                reserved.add(partial.values, step.spec.counted)
-            }
-        } else {
-            reserved.add(unticketed.values, step.spec.counted)
-            val placed = chosen - unticketed.keys
+        val chosen = chooseNow(step.spec, tasks, rooms)
+        val ticketed = rooms.filter { it.ticketed }.mapTo(HashSet()) { it.workerId }
+        val placed = chosen.filterValues { it in ticketed }
+        explain(step, Choice(tasks, rooms, chosen, chosen - placed.keys), usable.size, nowMs)
+        if (placed.size == chosen.size || !step.spec.gang) {
             if (placed.isNotEmpty()) commitPlacement(pass, step, placed)
+            if (placed.size == tasks.size) return
+        }
+        val intended = if (step.spec.gang) {
+            chosen.ifEmpty { fillWorkers(step.spec, tasks, rooms) }
+        } else {
+            chosen - placed.keys
         }
+        val missing = tasks.size - chosen.size
+        val isUrgent = step.latestStartMs - nowMs < RESERVE_BEFORE_MS
+        if (chosen.isNotEmpty() || isUrgent) reserved.add(intended.values, step.spec.counted)
+        if (terms != null) wantAdvice(step, terms, usable, reserved, intended, missing, nowMs)
     }
 
     /** Keeps what the log tells about a step that goes on waiting. */
@@ -134,13 +142,59 @@
             missing = missing.size
         )
         waits.found(step.id, facts) {
-            chooseWorkers(step.spec.copy(gang = false), choice.tasks, choice.rooms).size - placed
+            fillWorkers(step.spec, choice.tasks, choice.rooms).size - placed
         }
     }
 
-    private fun want(step: ReadyStep, workers: List<WorkerLink>, nowMs: Long) {
-        val terms = step.job.terms.advice ?: return
-        context.desk.want(step.id, terms, workers.map { it.candidate }, step.rank(nowMs), nowMs)
+    /** A gang starts at once if the workers with tickets suffice. */
+    private fun chooseNow(
+        spec: StepSpec,
+        tasks: List<WaitingTask>,
+        rooms: List<WorkerRoom>
+    ): Map<Int, String> {
+        val atOnce = if (spec.gang) {
+            chooseWorkers(spec, tasks, rooms.filter { it.ticketed })
+        } else {
+            emptyMap()
+        }
+        return atOnce.ifEmpty { chooseWorkers(spec, tasks, rooms) }
+    }
+
+    /**
+     * Asks for tickets of the [intended] workers, and about others for the tasks that are
+     * [missing] a worker. All tickets of a gang are renewed together, so that none lapses while
+     * others are asked for.
+     */
+    private fun wantAdvice(
+        step: ReadyStep,
+        terms: AdviceTerms,
+        usable: List<WorkerLink>,
+        reserved: Reserved,
+        intended: Map<Int, String>,
+        missing: Int,
+        nowMs: Long
+    ) {
+        val unasked = if (missing == 0) {
+            emptyList()
+        } else {
+            val rooms = usable.filter { !context.desk.wasAsked(step.id, it.candidate) }
+                .map { it.room(step, reserved, nowMs) }
+            chooseAsked(
+                step.spec,
+                missing,
+                rooms,
+                context.desk.allowedShare(terms),
+                isLong = isLongCall(terms),
+                seed = step.id.hashCode()
+            )
+        }
+        if (missing > 0 && unasked.isEmpty() && step.spec.gang) return
+        val renewed = intended.values.distinct()
+        val asked = (renewed + unasked.map { it.workerId })
+            .map { context.links.getValue(it).candidate }
+        if (asked.isEmpty()) return
+        context.desk.want(step.id, terms, asked, step.rank(nowMs), nowMs)
+        plans[step.id] = intended.values.toList()
     }
 
     private fun hasTicket(step: ReadyStep, workerId: String, nowMs: Long): Boolean {
@@ -157,7 +211,8 @@
         labels = worker.labels,
         free = free - reserved.of(worker.workerId),
         suspect = suspectUntilMs > nowMs,
-        ofStep = if (step.spec.maxPerWorker > 0) countOf(step.id) else 0
+        ofStep = if (step.spec.maxPerWorker > 0) countOf(step.id) else 0,
+        ticketed = hasTicket(step, worker.workerId, nowMs)
     )
 
     private fun commitPlacement(pass: Pass, step: ReadyStep, chosen: Map<Int, String>) {
@@ -232,4 +287,8 @@
     fun add(workerIds: Collection<String>, each: Resources) = workerIds.forEach {
         byWorker[it] = of(it) + each
     }
+
+    fun remove(workerIds: Collection<String>, each: Resources) = workerIds.forEach {
+        byWorker[it] = of(it) - each
+    }
 }
--- a/src/main/kotlin/dev/jackdawdale/push/WaitReason.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WaitReason.kt
@@ -8,6 +8,9 @@
     /** The adviser has not answered about any worker yet. */
     NO_ANSWER,
 
+    /** A further call about the step is under way; the room that it is about is reserved. */
+    CALLING,
+
     /** Chosen workers have no valid ticket. */
     NO_TICKETS,
 
@@ -23,6 +26,7 @@
  * @property allowed usable workers on which the step may run
  * @property chosen workers chosen for the tasks; none for a gang unless all of it has room
  * @property missing chosen workers without a valid ticket
+ * @property isCalling nothing was chosen, as a call about the step is under way
  * @property advice null when the step needs none
  */
 internal data class WaitFacts(
@@ -34,6 +38,7 @@
     val allowed: Int = 0,
     val chosen: Int = 0,
     val missing: Int = 0,
+    val isCalling: Boolean = false,
     val advice: AdviceFacts? = null
 )
 
@@ -68,6 +73,7 @@
 internal fun WaitFacts.reason(): WaitReason = when {
     pausedForMs > 0 -> WaitReason.PAUSED
     advice != null && advice.asked == 0 -> WaitReason.NO_ANSWER
+    isCalling -> WaitReason.CALLING
     missing > 0 -> WaitReason.NO_TICKETS
     else -> WaitReason.NO_ROOM
 }
@@ -82,6 +88,7 @@
     return when (reason()) {
         WaitReason.PAUSED -> "paused for $pausedForMs ms after a refusal"
         WaitReason.NO_ANSWER -> "no answer of the adviser yet, $usable workers to ask about$calls"
+        WaitReason.CALLING -> "a further call to the adviser$calls"
         WaitReason.NO_ROOM -> {
             val known = advice?.let { ", ${it.asked} asked" }.orEmpty()
             "no room: ${fitting()} tasks fit on $allowed allowed of $usable workers$known$calls"
