Let a member ask to be let in that was removed while it was cut off

What callers saw: nothing yet; the fault was found by reading. With one of five members outside for good, two more lost disks leave no quorum, and all that was accepted can no longer be read.

Cause: the leader removes the member that has been silent for longest when a replacement has joined. A member that was only cut off keeps its old membership in its log, takes itself for a member and never introduces itself; the leader no longer sends it anything.

Fix: every replica that hears no leader introduces itself, also to the members that it knows. The leader ignores that of a present member. Joining again under the same identity is safe, since its term, vote and log are still there.

Test: MembershipTest, "a member removed while it was cut off does not stay outside once it is back"; it failed before (still no voter 30 s after its return).

--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -281,18 +281,23 @@
         if (state.ready && known) run(RaftInput.Join(message.from, from))
     }
 
-    /** A replica outside of the membership asks to be let in, or forms the first membership. */
+    /**
+     * A replica that hears no leader asks to be let in, or forms the first membership. A member
+     * asks as well: it may have been removed without a word while it was cut off.
+     */
     private fun introduce() {
-        val isMember = state.membership.member(state.self) != null
         val hearsLeader = nowMs - state.leaderHeardMs < settings.raft.electionTimeoutMs
-        if (isMember || hearsLeader) return
+        if (hearsLeader || state.role == Role.LEADER) return
         val mayForm = state.isBlank && settings.mayFormCell
         val first = if (mayForm) joining.firstMembership(state.self, nowMs) else null
         if (first != null) {
             run(RaftInput.Bootstrap(first))
         } else if (nowMs >= helloDueMs) {
             helloDueMs = nowMs + settings.helloEveryMs
-            joining.asked.forEach { callbacks.send(it, Hello(state.self, settings.hostId)) }
+            val members = state.membership.members.map { it.hostId } - settings.hostId
+            (joining.asked + members).forEach {
+                callbacks.send(it, Hello(state.self, settings.hostId))
+            }
         }
     }
 
--- a/src/test/kotlin/dev/jackdawdale/replica/MembershipTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/MembershipTest.kt
@@ -145,6 +145,18 @@
             cell.voters() shouldNotContain silent.storage.replicaId
         }
 
+        test("a member removed while it was cut off does not stay outside once it is back") {
+            val cell = startedCell { it.copy(raft = it.raft.copy(targetMembers = 2)) }
+            val silent = cell.nodes.values.first { it != cell.leader }
+            val identity = silent.storage.replicaId
+            cell.cutOff += silent.hostId
+            cell.runUntil(LIMIT_MS) { cell.voters().size == 2 } shouldBe true
+            cell.proposeAll(10)
+            cell.cutOff -= silent.hostId
+            cell.runUntil(LIMIT_MS) { identity in cell.voters() } shouldBe true
+            cell.runUntil(LIMIT_MS) { silent.applied.size == 10 } shouldBe true
+        }
+
         test("a second change is refused while one is not committed") {
             val cell = startedCell()
             val leader = cell.leader!!.replica!!
