Bound what is sent to a member that is behind

Evidence: two control hosts came back without a disk at 35.8 s. From then on 21 leaders followed each other (terms 5 to 26 by 66 s), each for 0 to 2.7 s, and the connections from the leader to the two hosts ended every 0.5 s with "silent for 450 to 540 ms". The log, under 8 MB, was still not there after 24 s (membership entry of 38.8 s applied at 66.2 s). The same began at 18.9 s, when two hosts came back after 7 s without power with their disks: they did not catch up for over 10 s, their connections fell silent 21 times, the leader asked workers for 2307 reports in 5 s instead of 3997, and 68 of the 1030 jobs of 18 to 32 s were in their aim.

Cause: a peer whose answer was awaited got the same entries again with each heartbeat (80 ms), up to 512 KiB each, and then up to 64 such messages at once. The leader spent its processor on encoding them, heartbeats stood behind them, and a receiver short of processor time did not finish one in the 450 ms after which it gives a silent connection up, so all began anew.

One message carries 64 KiB, and 512 KiB may be in flight.

Test: CatchUpTest. Before, a silent member got 17,297,280 bytes in 5 s (bound 65,536), and the second case failed too.

--- a/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
@@ -16,13 +16,18 @@
  * @property startPatienceMs how long a replica that has just started waits for a leader; asking
  *   for votes disturbs no leader that a quorum hears
  * @property suspectAfterMs how long a leader whose connection has ended may stay silent
+ * @property maxAppendBytes size of one message to a peer that is behind; large ones hold up
+ *   heartbeats behind them
+ * @property maxInFlightBytes entries sent to one peer and not answered, unless a single one is
+ *   larger
  */
 internal data class RaftSettings(
     val electionTimeoutMs: Long = 1_000,
     val heartbeatMs: Long = 150,
     val startPatienceMs: Long = electionTimeoutMs,
     val suspectAfterMs: Long = electionTimeoutMs / 3,
-    val maxAppendBytes: Int = MAX_MESSAGE_PAYLOAD_BYTES,
+    val maxAppendBytes: Int = 64 * 1024,
+    val maxInFlightBytes: Int = 512 * 1024,
     val maxInFlightAppends: Int = 64,
     val promoteWithinEntries: Long = 256,
     val targetMembers: Int? = null,
@@ -33,7 +38,10 @@
 
 /** How the leader replicates to one peer. */
 internal enum class Mode {
-    /** One message at a time until the common prefix of the logs is known. */
+    /**
+     * One message with entries until the common prefix of the logs is known; heartbeats go on and
+     * find it when that message or its answer is lost.
+     */
     PROBE,
 
     /** Entries are sent without waiting for earlier replies. */
@@ -46,21 +54,26 @@
 /**
  * What the leader knows of one peer.
  *
- * @property inFlight last index of each append that was not answered
- * @property waiting in [Mode.PROBE]: an append was sent and not answered since the last heartbeat
+ * @property inFlight the appends that were not answered
+ * @property waiting in [Mode.PROBE] and [Mode.SNAPSHOT]: entries or a chunk are not answered
+ * @property chunkSentMs when the last chunk of a snapshot was sent
  */
 internal data class Progress(
     val matchIndex: Long = 0,
     val nextIndex: Long,
     val mode: Mode = Mode.PROBE,
-    val inFlight: PersistentList<Long> = persistentListOf(),
+    val inFlight: PersistentList<InFlight> = persistentListOf(),
     val waiting: Boolean = false,
+    val chunkSentMs: Long = 0,
     val snapshotIndex: Long = 0,
     val snapshotOffset: Long = 0,
     val readRound: Long = 0,
     val lastHeardMs: Long
 )
 
+/** An append that ends at [lastIndex] and carries entries of [bytes]. */
+internal data class InFlight(val lastIndex: Long, val bytes: Int)
+
 /** A read that waits for a quorum to confirm the leader in [round]. */
 internal data class PendingRead(val readId: Long, val round: Long, val index: Long)
 
--- a/src/main/kotlin/dev/jackdawdale/raft/Replication.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/Replication.kt
@@ -16,7 +16,7 @@
     continueTransfer()
     state = state.copy(heartbeatDueMs = nowMs + settings.heartbeatMs)
     for (peer in state.peers.keys) {
-        updatePeer(peer) { it.copy(waiting = false) }
+        repeatLostChunk(peer)
         if (!sendAppends(peer)) sendHeartbeat(peer)
     }
     removeSurplus()
@@ -56,7 +56,7 @@
             peer.nextIndex <= state.log.baseIndex -> return startSnapshot(id)
             peer.nextIndex > state.lastIndex -> return sent
             peer.mode == Mode.PROBE && peer.waiting -> return sent
-            peer.inFlight.size >= state.settings.maxInFlightAppends -> return sent
+            !state.settings.maySend(peer) -> return sent
         }
         val entries = state.log.slice(peer.nextIndex, state.settings.maxAppendBytes)
         sendAppend(id, peer, entries)
@@ -65,13 +65,18 @@
                 it.copy(waiting = true)
             } else {
                 val last = entries.last().index
-                it.copy(nextIndex = last + 1, inFlight = it.inFlight.add(last))
+                val added = InFlight(last, entries.sumOf { entry -> entry.sizeBytes })
+                it.copy(nextIndex = last + 1, inFlight = it.inFlight.add(added))
             }
         }
         sent = true
     }
 }
 
+private fun RaftSettings.maySend(peer: Progress): Boolean =
+    peer.inFlight.size < maxInFlightAppends &&
+        peer.inFlight.sumOf { it.bytes } < maxInFlightBytes
+
 /** Its reply also reveals appends that were lost: the peer lacks the previous entry. */
 internal fun StepScope.sendHeartbeat(id: ReplicaId) {
     val peer = state.peers[id] ?: return
@@ -113,7 +118,7 @@
             nextIndex = maxOf(peer.nextIndex, match + 1),
             mode = Mode.REPLICATE,
             waiting = false,
-            inFlight = peer.inFlight.filter { it > match }.toPersistentList()
+            inFlight = peer.inFlight.filter { it.lastIndex > match }.toPersistentList()
         )
     }
     advanceCommit()
--- a/src/main/kotlin/dev/jackdawdale/raft/Snapshots.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/Snapshots.kt
@@ -17,7 +17,14 @@
     return sendSnapshotChunk(id)
 }
 
-/** One chunk is in flight at a time; a lost one is sent again with the next heartbeat. */
+/** A slow peer gets the same chunk only once while its answer may still come. */
+internal fun StepScope.repeatLostChunk(id: ReplicaId) = updatePeer(id) {
+    val lost = it.mode == Mode.SNAPSHOT &&
+        nowMs - it.chunkSentMs >= state.settings.electionTimeoutMs
+    if (lost) it.copy(waiting = false) else it
+}
+
+/** One chunk is in flight at a time. */
 internal fun StepScope.sendSnapshotChunk(id: ReplicaId): Boolean {
     val peer = state.peers[id] ?: return false
     val host = state.membership.member(id)?.hostId ?: return false
@@ -34,7 +41,7 @@
         readRound = state.readRound
     )
     emit(RaftEffect.SendSnapshot(host, template))
-    updatePeer(id) { it.copy(waiting = true) }
+    updatePeer(id) { it.copy(waiting = true, chunkSentMs = nowMs) }
     return true
 }
 
--- a/src/main/kotlin/dev/jackdawdale/replica/Snapshots.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Snapshots.kt
@@ -3,7 +3,6 @@
 import dev.jackdawdale.model.Blob
 import dev.jackdawdale.raft.Entry
 import dev.jackdawdale.raft.InstallSnapshot
-import dev.jackdawdale.raft.MAX_MESSAGE_PAYLOAD_BYTES
 import dev.jackdawdale.raft.Mode
 import dev.jackdawdale.raft.RaftEffect
 import dev.jackdawdale.raft.RaftInput
@@ -124,7 +123,7 @@
                 storage.readSnapshot(
                     template.meta.index,
                     template.offset,
-                    MAX_MESSAGE_PAYLOAD_BYTES
+                    settings.raft.maxAppendBytes
                 )
             } catch (_: StorageException) {
                 null
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/raft/CatchUpTest.kt
@@ -0,0 +1,125 @@
+package dev.jackdawdale.raft
+
+import dev.jackdawdale.model.Blob
+import dev.jackdawdale.model.HostId
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+
+private const val KIB = 1024
+private const val ENTRY_BYTES = 4 * KIB
+private const val ENTRIES = 2_000
+private const val STEP_MS = 10L
+
+private val self = ReplicaId("a")
+private val healthy = ReplicaId("b")
+private val behind = ReplicaId("c")
+private val three = Membership(
+    listOf(self, healthy, behind).map { Member(it, HostId(it.value), voter = true) }
+)
+
+/** The leader `a` of a log of 8 MiB; `b` answers at once, `c` has nothing and answers on demand. */
+private class LongLog {
+    private val settings = RaftSettings()
+    private var nowMs = 1_000L
+    private var state = raftState(
+        settings,
+        self,
+        term = 1,
+        votedFor = null,
+        log = raftLog(SnapshotMeta(0, 0, three), List(ENTRIES, ::entryAt)),
+        seed = 7,
+        nowMs = nowMs
+    )
+
+    /** Appends to `c` in the order of their sending. */
+    val sent = mutableListOf<Append>()
+
+    init {
+        while (state.role != Role.LEADER) tick()
+        receive(refusal(sent.last()))
+        sent.clear()
+    }
+
+    fun runFor(durationMs: Long) {
+        val endMs = nowMs + durationMs
+        while (nowMs < endMs) tick()
+    }
+
+    fun receive(message: ConsensusMessage) =
+        run(RaftInput.Receive(HostId(message.from.value), message))
+
+    fun accepted(append: Append) = AppendReply(
+        behind,
+        self,
+        state.term,
+        success = true,
+        append.previousIndex,
+        append.previousIndex + append.entries.size,
+        append.readRound
+    )
+
+    private fun refusal(append: Append) =
+        AppendReply(behind, self, state.term, false, append.previousIndex, 1, append.readRound)
+
+    private fun tick() {
+        nowMs += STEP_MS
+        run(RaftInput.Tick)
+    }
+
+    private fun run(input: RaftInput) {
+        val result = step(state, input, nowMs)
+        state = result.state
+        if (result.effects.any { it is RaftEffect.WriteVote || it is RaftEffect.WriteEntries }) {
+            run(RaftInput.Persisted(state.term, state.lastIndex, state.log.lastTerm))
+        }
+        result.effects.filterIsInstance<RaftEffect.Send>().forEach { answer(it.message) }
+    }
+
+    private fun answer(message: ConsensusMessage) {
+        if (message.to == behind) {
+            if (message is Append) sent += message
+            return
+        }
+        when (message) {
+            is PreVote -> receive(PreVoteReply(healthy, self, message.term, granted = true))
+            is Vote -> receive(VoteReply(healthy, self, message.term, granted = true))
+            is Append -> receive(accepted(message).copy(from = healthy))
+            else -> Unit
+        }
+    }
+}
+
+private fun entryAt(position: Int) =
+    Entry(position + 1L, 1, EntryKind.COMMAND, Blob(ByteArray(ENTRY_BYTES)))
+
+private fun List<Append>.payloadBytes() = sumOf { it.entries.sumOf(Entry::sizeBytes) }
+
+class CatchUpTest :
+    FunSpec({
+        test("a member that is slow to answer is not sent the same entries again and again") {
+            val cell = LongLog()
+            cell.runFor(5_000)
+            cell.sent.payloadBytes() shouldBeLessThanOrEqual 64 * KIB
+        }
+
+        test("entries for a member that is behind do not pile up in front of its heartbeats") {
+            val cell = LongLog()
+            cell.runFor(500)
+            cell.receive(cell.accepted(cell.sent.first()))
+            cell.runFor(5_000)
+            cell.sent.payloadBytes() shouldBeLessThanOrEqual 1_024 * KIB
+            cell.sent.maxOf { listOf(it).payloadBytes() } shouldBeLessThanOrEqual 64 * KIB
+        }
+
+        test("a member that is behind catches up when its answers come") {
+            val cell = LongLog()
+            cell.runFor(500)
+            var answered = 0
+            while (answered < cell.sent.size && answered < 10 * ENTRIES) {
+                cell.receive(cell.accepted(cell.sent[answered++]))
+            }
+            val last = cell.sent.maxOf { it.previousIndex + it.entries.size }
+            last shouldBe ENTRIES + 1L
+        }
+    })
