Count any arriving bytes as a sign of life of a connection

Cause: a connection counted as silent until a whole frame had arrived.

Fix: each part of a frame that arrives counts. A pause longer than the timeout between two parts still ends the connection, so nothing older is handed on.

Test: PeerNetworkTest, "a long message that arrives slowly does not pass for silence"; before, the connection was broken in the midst of the message.

--- a/src/main/kotlin/dev/jackdawdale/wire/FrameLink.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/FrameLink.kt
@@ -55,7 +55,7 @@
     private var endingSinceNanos = 0L
 
     @Volatile
-    private var lastFrameNanos = System.nanoTime()
+    private var lastBytesNanos = System.nanoTime()
 
     /** Why the connection is closed, or null while it is open. */
     val closedBecause: String? get() = closeReason.get()
@@ -109,15 +109,20 @@
 
     private suspend fun readFrames(onMessage: (I) -> Unit) {
         while (closeReason.get() == null) {
-            val frame = raw.input.readFrame(settings.maxFrameBytes)
-            val silentMs = silentMs()
-            // After a pause of this process or of the network the messages may be long overtaken.
-            if (silentMs > settings.silenceTimeoutMs) return close("silent for $silentMs ms")
-            lastFrameNanos = System.nanoTime()
+            val frame = raw.input.readFrame(settings.maxFrameBytes, ::bytesArrived)
+            if (closeReason.get() != null) return
             if (frame.isNotEmpty() && endReason.get() == null) onMessage(decode(frame))
         }
     }
 
+    /** Any part of a frame is a sign of life: a busy reader takes long for a large one. */
+    private fun bytesArrived() {
+        val silentMs = silentMs()
+        // After a pause of this process or of the network the messages may be long overtaken.
+        if (silentMs > settings.silenceTimeoutMs) close("silent for $silentMs ms")
+        lastBytesNanos = System.nanoTime()
+    }
+
     private fun decode(frame: ByteArray): I = try {
         val time = frameTimeOrNull(frame)
             ?: throw BadFrame("message frame of ${frame.size} bytes")
@@ -167,7 +172,7 @@
         }
     }
 
-    private fun silentMs(): Long = elapsedMs(lastFrameNanos)
+    private fun silentMs(): Long = elapsedMs(lastBytesNanos)
 
     private fun elapsedMs(sinceNanos: Long): Long = (System.nanoTime() - sinceNanos) / 1_000_000
 
--- a/src/main/kotlin/dev/jackdawdale/wire/Frames.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/Frames.kt
@@ -10,18 +10,28 @@
 /** A peer sent something that is not a frame or not a message of this connection. */
 internal class BadFrame(message: String, cause: Throwable? = null) : Exception(message, cause)
 
+private const val PIECE_BYTES = 16 * 1024
+
 /**
  * Reads one frame: a 4-byte length and that many bytes. An empty frame is a heartbeat.
  *
+ * @param onBytes called whenever a part of the frame has arrived
  * @throws BadFrame when the length is negative or greater than [maxBytes]
  */
-internal suspend fun ByteReadChannel.readFrame(maxBytes: Int): ByteArray {
+internal suspend fun ByteReadChannel.readFrame(
+    maxBytes: Int,
+    onBytes: () -> Unit = {}
+): ByteArray {
     val length = readInt()
+    onBytes()
     if (length !in 0..maxBytes) {
         throw BadFrame("frame of $length bytes; at most $maxBytes are allowed")
     }
     val bytes = ByteArray(length)
-    if (length > 0) readFully(bytes)
+    for (from in 0 until length step PIECE_BYTES) {
+        readFully(bytes, from, minOf(length, from + PIECE_BYTES))
+        onBytes()
+    }
     return bytes
 }
 
--- a/src/main/kotlin/dev/jackdawdale/wire/PeerSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/PeerSettings.kt
@@ -18,7 +18,7 @@
  * @property maxQueuedMessages messages that may wait for one peer before the connection is closed
  * @property maxQueuedBytes estimated size of these messages
  * @property heartbeatMs interval of empty frames that show a live connection
- * @property silenceTimeoutMs a connection without any frame for this time is closed
+ * @property silenceTimeoutMs a connection on which nothing arrives for this time is closed
  * @property sessionSilenceMs the same for an entry host's session; it bounds the age of a dispatch
  * that the network held back
  * @property clock stamps the messages of this process for the timeline
--- a/src/test/kotlin/dev/jackdawdale/wire/PeerNetworkTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/wire/PeerNetworkTest.kt
@@ -3,19 +3,24 @@
 import dev.jackdawdale.bench.loopbackPeer
 import dev.jackdawdale.model.FailureDomain
 import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.cellCbor
 import dev.jackdawdale.testing.patience
+import dev.jackdawdale.timeline.HybridTime
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
 import io.ktor.network.selector.SelectorManager
+import io.ktor.utils.io.writeFully
+import io.ktor.utils.io.writeInt
 import java.io.DataOutputStream
 import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.builtins.serializer
@@ -26,6 +31,9 @@
     EntryMessage::weightBytes
 )
 
+private const val SLOW_PIECES = 12
+private const val SLOW_PIECE_BYTES = 32 * 1024
+
 private fun openOf(incarnation: Long) = EntryMessage.SessionOpen(
     HostId("h1"),
     incarnation,
@@ -93,6 +101,27 @@
             }
         }
 
+        test("a long message that arrives slowly does not pass for silence") {
+            val settings = loopbackPeer("c1").copy(silenceTimeoutMs = 1_000)
+            Recorder(settings).use { listener ->
+                val sender = loopbackPeer("c2")
+                val address = PeerAddress("127.0.0.1", listener.network.port)
+                val raw = selector.connect(address, sender)
+                raw.greetAsClient(sender, Role.CONTROL, HostId("c1"))
+                val text = "x".repeat(SLOW_PIECES * SLOW_PIECE_BYTES)
+                val message = cellCbor.encodeToByteArray(String.serializer(), text)
+                val frame = timedFrame(HybridTime(0), message)
+                raw.output.writeInt(frame.size)
+                for (from in frame.indices step SLOW_PIECE_BYTES) {
+                    raw.output.writeFully(frame, from, minOf(frame.size, from + SLOW_PIECE_BYTES))
+                    raw.output.flush()
+                    delay(150)
+                }
+                eventually(patience) { listener.events.toList() shouldBe listOf(text) }
+                raw.close()
+            }
+        }
+
         test("a message over the frame bound is dropped and the connection goes on") {
             Recorder().use { listener ->
                 Recorder(loopbackPeer("c2", listener.network.port)).use { sender ->
