Let inputs wait while leadership is handed over

A call that a leader takes during a handover that fails gets no answer, and a run whose end the leader noted in that time keeps its room until another leader stands, so its job does not finish.

Cause: while leadership is handed over the log takes no proposal. The control loop decided its pass all the same and dropped the events, while the leader's memory of its workers (held runs, the last end noted) had already changed.

Fix: no pass runs while nothing can be appended; the inputs wait.

Test: ControlLoopTest, "a call that arrives during a handover that fails is not forgotten"; before, it got no answer.

--- a/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlLoop.kt
@@ -217,6 +217,8 @@
     fun runPass() {
         val leading = leadership ?: return
         if (leading.proposed.size >= settings.maxBatchesInFlight) return
+        // What a pass decides cannot be taken back, so inputs wait while nothing can be appended.
+        if (!log.accepts()) return
         val startedNanos = System.nanoTime()
         val pass = Pass(leading.state, leading.soft, now())
         repeat(minOf(inbox.size, settings.maxInputsPerPass)) { inbox.removeFirst()(pass) }
--- a/src/main/kotlin/dev/jackdawdale/control/ReplicatedLog.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ReplicatedLog.kt
@@ -10,11 +10,13 @@
  * The log as the control loop uses it. All functions are called on the control thread, and their
  * results arrive there.
  *
+ * @property accepts whether [propose] appends now; it does not while leadership is handed over
  * @property propose appends a payload and returns its index, or null when this replica does not
  *     lead
  * @property confirmLeadership asks a quorum whether this replica still leads
  */
 internal data class ReplicatedLog(
+    val accepts: () -> Boolean,
     val propose: (payload: ByteArray, nowMs: Long) -> Long?,
     val confirmLeadership: (nowMs: Long, onResult: (Boolean) -> Unit) -> Unit,
     val status: () -> LogStatus
--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -116,7 +116,12 @@
     private val loop: ControlLoop = ControlLoop(
         hostId = settings.host.id,
         settings = controlSettings,
-        log = ReplicatedLog(::propose, ::confirmLeadership, ::logStatus),
+        log = ReplicatedLog(
+            { replica.acceptsProposals },
+            ::propose,
+            ::confirmLeadership,
+            ::logStatus
+        ),
         records = recordAccess(records, recordReader, control),
         clock = clock,
         wakeUp = ::schedulePass,
--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -114,6 +114,9 @@
         run(RaftInput.ConnectionEnded(from))
     }
 
+    /** Whether this replica leads and is not handing leadership over. */
+    val acceptsProposals: Boolean get() = !stopped && state.ready && state.transferTo == null
+
     /** Appends a command when this replica leads. It is committed once `apply` is called. */
     fun propose(payload: ByteArray, nowMs: Long): ProposeResult {
         if (stopped) return ProposeResult.NotLeader(null)
--- a/src/test/kotlin/dev/jackdawdale/control/ControlLoopTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/control/ControlLoopTest.kt
@@ -69,6 +69,18 @@
             link.closed shouldBe true
         }
 
+        test("a call that arrives during a handover that fails is not forgotten") {
+            val cell = FakeCell()
+            val link = cell.ready()
+            cell.accepting = false
+            cell.call(link, 10, submit("r1"))
+            cell.settle()
+            link.replyTo(10) shouldBe null
+            cell.accepting = true
+            cell.settle()
+            link.replyTo(10).shouldBeInstanceOf<Reply.Work>()
+        }
+
         test("the answer reaches the caller's host only after the end is durable") {
             val cell = FakeCell()
             val link = cell.ready()
--- a/src/test/kotlin/dev/jackdawdale/control/FakeCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/control/FakeCell.kt
@@ -44,8 +44,13 @@
     private var nextIndex = 1L
     val records = mutableListOf<WorkRecord>()
 
+    /** False while leadership is being handed over. */
+    var accepting = true
+
     private val log = ReplicatedLog(
+        accepts = { accepting },
         propose = { payload, _ ->
+            if (!accepting) return@ReplicatedLog null
             val index = nextIndex++
             uncommitted.addLast(index to payload)
             index
