Make each deletion of a log segment durable before the next

After a loss of power a control host could refuse to start for good ("entries are missing"), as lost as a lost disk.

Cause: several segments were deleted with one sync of their folder at the end. Without that sync a loss of power keeps or undoes each deletion by itself, so a segment in the middle can be gone while an older one is back.

Fix: the folder is synced after each deletion.

Test: ReplicaFolderTest, "a loss of power amid deletions leaves no gap between segments", for dropped, replaced and installed logs; all three failed before, on a copy that also reports the sync of the folder.

--- a/src/main/kotlin/dev/jackdawdale/storage/SegmentedLog.kt
+++ b/src/main/kotlin/dev/jackdawdale/storage/SegmentedLog.kt
@@ -68,12 +68,9 @@
 
     /** Deletes files that hold only entries up to [index]. */
     fun dropThrough(index: Long) {
-        var deleted = false
         while (segments.size > 1 && segments.first().lastIndex <= index) {
             delete(segments.removeFirst())
-            deleted = true
         }
-        if (deleted) syncFolder(folder)
     }
 
     /** Drops all entries; the next one appended may have any index. */
@@ -81,7 +78,6 @@
         closeWriter()
         // The last file goes first: files left after a crash must hold consecutive entries.
         while (segments.isNotEmpty()) delete(segments.removeLast())
-        syncFolder(folder)
     }
 
     override fun close() = closeWriter()
@@ -115,7 +111,6 @@
         while (segments.isNotEmpty() && segments.last().firstIndex >= index) {
             delete(segments.removeLast())
         }
-        syncFolder(folder)
         val segment = segments.lastOrNull() ?: return
         val position = (index - segment.firstIndex).toInt()
         if (position < segment.offsets.size) {
@@ -133,8 +128,10 @@
             openFrameFile(path, endOf(frames), check)
         }
 
-    private fun delete(segment: LogSegment) = onDisk(segment.path, check) {
-        Files.delete(segment.path)
+    /** A loss of power may undo a deletion that is not synced and keep a later one. */
+    private fun delete(segment: LogSegment) {
+        onDisk(segment.path, check) { Files.delete(segment.path) }
+        onDisk(folder, check) { syncFolder(folder) }
     }
 
     private fun closeWriter() {
--- a/src/test/kotlin/dev/jackdawdale/storage/ReplicaFolderTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/storage/ReplicaFolderTest.kt
@@ -99,6 +99,29 @@
             }
         }
 
+        context("a loss of power amid deletions leaves no gap between segments") {
+            val installed = StoredSnapshot(SnapshotMeta(50, 2, Membership()), byteArrayOf(1))
+            withData(
+                nameFn = { it::class.simpleName.orEmpty() },
+                StorageWrite.DropThrough(25),
+                StorageWrite.Install(installed),
+                StorageWrite.Entries(listOf(entry(2, term = 2)))
+            ) { write ->
+                val path = tempdir().toPath()
+                val logFolder = path.resolve("log")
+                val durable = mutableListOf<Set<Path>>()
+                val check: WriteCheck = { if (it == logFolder) durable += logFiles(path).toSet() }
+                open(path, check) { folder, _ ->
+                    folder.write(entries(1L..30))
+                    durable.clear()
+                    durable += logFiles(path).toSet()
+                    folder.write(listOf(write))
+                }
+                (durable.size > 2) shouldBe true
+                durable.zipWithNext { before, after -> (before - after).size }.max() shouldBe 1
+            }
+        }
+
         context("damage of the last segment") {
             // Frames of 53 bytes after a header of 8; each was synced by itself.
             withData(
