Log what keeps the control thread busy

A leader that decides for longer than the election timeout is replaced, and no line told which part of its work took the time. A pass over 100 ms says how long the placements and the orders took, and a tick says how late it was.

--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -47,6 +47,7 @@
 private val log = LogManager.getLogger("dev.jackdawdale.host")
 private const val RECORDS_FOLDER = "records"
 private const val TICK_MS = 20L
+private const val LATE_TICK_MS = 100L
 private const val REACHABLE_MS = 2_000L
 private const val HANDOVER_TIMEOUT_MS = 5_000L
 private const val HANDOVER_POLL_MS = 50L
@@ -74,6 +75,7 @@
     private val background = singleThread("snapshots")
     private val recordReader = singleThread("records")
     private val passScheduled = AtomicBoolean()
+    private var tickedMs = clock()
     private val folder = replicaFolder(dataFolder(settings))
     private val records = recordStore(
         dataFolder(settings).resolve(RECORDS_FOLDER),
@@ -207,8 +209,17 @@
     }
 
     private fun tick() = guarded {
-        replica.tick(clock())
+        val startMs = clock()
+        val lateMs = startMs - tickedMs - TICK_MS
+        if (lateMs > LATE_TICK_MS) log.warn("the control thread was late by {} ms", lateMs)
+        replica.tick(startMs)
+        val tickMs = clock() - startMs
         loop.runPass()
+        tickedMs = clock()
+        val passMs = tickedMs - startMs - tickMs
+        if (tickMs + passMs > LATE_TICK_MS) {
+            log.warn("a tick took {} ms and its pass {} ms", tickMs, passMs)
+        }
     }
 
     private fun schedulePass() {
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -138,13 +138,25 @@
 
     /** Decides what is due in this pass. */
     fun decide(pass: Pass) {
+        val startNanos = System.nanoTime()
         reports.lapse(pass)
         stuck.moveStuck(pass)
         beginOccurrences(pass)
         forget(pass)
+        val placeNanos = System.nanoTime()
         placement.place(pass)
+        val ordersNanos = System.nanoTime()
         orders.sendStops(pass.nowMs)
         reports.askReports(pass.nowMs)
+        val endNanos = System.nanoTime()
+        if (endNanos - startNanos < LONG_NANOS) return
+        log.warn(
+            "deciding on {} waiting steps took {} ms: {} for placements, {} for orders",
+            placement.waitingSteps,
+            (endNanos - startNanos) / NANOS_PER_MS,
+            (ordersNanos - placeNanos) / NANOS_PER_MS,
+            (endNanos - ordersNanos) / NANOS_PER_MS
+        )
     }
 
     fun workerReported(pass: Pass, report: WorkerReport, onDurable: () -> Unit) =
@@ -183,5 +195,9 @@
 
     private companion object {
         const val FORGET_EVERY_MS = 5_000L
+        const val NANOS_PER_MS = 1_000_000L
+
+        /** A longer pause of the control thread endangers leadership. */
+        const val LONG_NANOS = 100 * NANOS_PER_MS
     }
 }
