--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -48,6 +48,7 @@
 private val log = LogManager.getLogger("dev.jackdawdale.host")
 private const val RECORDS_FOLDER = "records"
 private const val TICK_MS = 20L
+private const val LATE_TICK_MS = 100L
 private const val REACHABLE_MS = 2_000L
 private const val HANDOVER_TIMEOUT_MS = 5_000L
 private const val HANDOVER_POLL_MS = 50L
@@ -75,6 +76,7 @@
     private val background = singleThread("snapshots")
     private val recordReader = singleThread("records")
     private val passScheduled = AtomicBoolean()
+    private var tickedMs = clock()
     private val folder = replicaFolder(dataFolder(settings))
     private val records = recordStore(
         dataFolder(settings).resolve(RECORDS_FOLDER),
@@ -119,7 +121,12 @@
     private val loop: ControlLoop = ControlLoop(
         hostId = settings.host.id,
         settings = controlSettings,
-        log = ReplicatedLog(::propose, ::confirmLeadership, ::logStatus),
+        log = ReplicatedLog(
+            { replica.acceptsProposals },
+            ::propose,
+            ::confirmLeadership,
+            ::logStatus
+        ),
         records = recordAccess(records, recordReader, control),
         clock = clock,
         wakeUp = ::schedulePass,
@@ -210,8 +217,17 @@
     }
 
     private fun tick() = guarded {
-        replica.tick(clock())
+        val startMs = clock()
+        val lateMs = startMs - tickedMs - TICK_MS
+        if (lateMs > LATE_TICK_MS) log.warn("the control thread was late by {} ms", lateMs)
+        replica.tick(startMs)
+        val tickMs = clock() - startMs
         loop.runPass()
+        tickedMs = clock()
+        val passMs = tickedMs - startMs - tickMs
+        if (tickMs + passMs > LATE_TICK_MS) {
+            log.warn("a tick took {} ms and its pass {} ms", tickMs, passMs)
+        }
     }
 
     private fun schedulePass() {
--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -24,6 +24,7 @@
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.replica")
+private const val LAG_LOG_EVERY_MS = 1_000L
 
 /**
  * One member of the replicated log. All functions are called on the control thread; times are
@@ -66,6 +67,7 @@
     private var appliedIndex = state.commitIndex
     private var nowMs = 0L
     private var helloDueMs = 0L
+    private var lagDueMs = 0L
     private var stopped = false
     private var storageError: StorageError? = null
     private var writes = mutableListOf<StorageWrite>()
@@ -87,6 +89,7 @@
         run(RaftInput.Tick)
         introduce()
         takeSnapshotIfDue()
+        logMembersBehind()
         val others = state.membership.members.map { it.hostId }.filter { it != settings.hostId }
         fetcher?.tick(others, nowMs)
     }
@@ -111,6 +114,9 @@
         run(RaftInput.ConnectionEnded(from))
     }
 
+    /** Whether this replica leads and is not handing leadership over. */
+    val acceptsProposals: Boolean get() = !stopped && state.ready && state.transferTo == null
+
     /** Appends a command when this replica leads. It is committed once `apply` is called. */
     fun propose(payload: ByteArray, nowMs: Long): ProposeResult {
         if (stopped) return ProposeResult.NotLeader(null)
@@ -239,6 +245,24 @@
         calls.committed(entry)
     }
 
+    /** A member that does not catch up is as good as lost, and does not show it otherwise. */
+    private fun logMembersBehind() {
+        if (!state.ready || nowMs < lagDueMs) return
+        lagDueMs = nowMs + LAG_LOG_EVERY_MS
+        for ((id, peer) in state.peers) {
+            val missing = state.lastIndex - peer.matchIndex
+            if (missing <= settings.raft.promoteWithinEntries) continue
+            log.info(
+                "member {} lacks {} of {} entries: {}, {} bytes in flight",
+                state.membership.member(id)?.hostId,
+                missing,
+                state.lastIndex,
+                peer.mode,
+                peer.inFlight.sumOf { it.bytes }
+            )
+        }
+    }
+
     private fun install(effect: RaftEffect.Install) {
         val snapshot = snapshots.received(effect.meta)
         queue.submit(
@@ -281,18 +305,23 @@
         if (state.ready && known) run(RaftInput.Join(message.from, from))
     }
 
-    /** A replica outside of the membership asks to be let in, or forms the first membership. */
+    /**
+     * A replica that hears no leader asks to be let in, or forms the first membership. A member
+     * asks as well: it may have been removed without a word while it was cut off.
+     */
     private fun introduce() {
-        val isMember = state.membership.member(state.self) != null
         val hearsLeader = nowMs - state.leaderHeardMs < settings.raft.electionTimeoutMs
-        if (isMember || hearsLeader) return
+        if (hearsLeader || state.role == Role.LEADER) return
         val mayForm = state.isBlank && settings.mayFormCell
         val first = if (mayForm) joining.firstMembership(state.self, nowMs) else null
         if (first != null) {
             run(RaftInput.Bootstrap(first))
         } else if (nowMs >= helloDueMs) {
             helloDueMs = nowMs + settings.helloEveryMs
-            joining.asked.forEach { callbacks.send(it, Hello(state.self, settings.hostId)) }
+            val members = state.membership.members.map { it.hostId } - settings.hostId
+            (joining.asked + members).forEach {
+                callbacks.send(it, Hello(state.self, settings.hostId))
+            }
         }
     }
 
