Ask about a least number of workers; test what the adviser is asked about

Tests for the renewal of all tickets together, the split into calls, calls of hosts that are gone, and the workers that a call is about.

--- a/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
@@ -250,7 +250,8 @@
 private fun StepAdvice.goesBefore(other: StepAdvice): Boolean =
     wanted.isNotEmpty() && callsUnderWay == 0 && rank < other.rank
 
-private val StepAdvice.isLong: Boolean get() = costMs(terms, minOf(wanted.size, MAX_WORKERS)) > LONG_CALL_MS
+private val StepAdvice.isLong: Boolean get() = costMs(terms, minOf(wanted.size, MAX_WORKERS)) >
+    LONG_CALL_MS
 
 private val AdviceCall.isLong: Boolean get() = costMs(terms, asked.size) > LONG_CALL_MS
 
--- a/src/main/kotlin/dev/jackdawdale/push/ChooseWorkers.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/ChooseWorkers.kt
@@ -1,7 +1,6 @@
 package dev.jackdawdale.push
 
 import dev.jackdawdale.model.Resources
-import dev.jackdawdale.model.fitsInto
 import dev.jackdawdale.model.minus
 import dev.jackdawdale.staged.StepSpec
 import dev.jackdawdale.staged.counted
@@ -115,7 +114,7 @@
     isLong: Boolean,
     seed: Int
 ): List<WorkerRoom> {
-    val needed = tasks / allowedShare * ASK_MARGIN + MIN_ASKED
+    val needed = tasks / allowedShare * ASK_MARGIN
     val byRoom = rooms.filter { it.hasLabelFor(spec) }
         .map { Triple(it, it.slots(spec), (it.workerId.hashCode() xor seed) * HASH_FACTOR) }
         .sortedWith(
@@ -127,15 +126,17 @@
                 { it.third }
             )
         )
-    var slots = 0.0
-    return byRoom.takeWhile { (_, ofWorker, _) ->
-        val isOpen = slots < needed
+    var slots = 0
+    return byRoom.filterIndexed { number, (_, ofWorker, _) ->
+        val isNeeded = slots < needed || number < MIN_ASKED
         slots += ofWorker.coerceIn(1, tasks)
-        isOpen
+        isNeeded
     }.map { it.first }
 }
 
 /** Room that is asked about beyond the expected need: shares vary, and others take some of it. */
 private const val ASK_MARGIN = 1.5
-private const val MIN_ASKED = 4
+
+/** Of fewer workers, a policy that allows 0.3 of them may well allow less than a few. */
+private const val MIN_ASKED = 16
 private const val HASH_FACTOR = -0x61c88647
--- a/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
@@ -70,6 +70,43 @@
             sent.desk.ticket(stepId("s"), "w2", boot = 1, untilMs = 1_500) shouldBe null
         }
 
+        test("a ticket that lapses before the others are renewed is renewed with them") {
+            val sent = Sent()
+            val step = stepId("s")
+            val tickets = AdviceResult.Given(workers.associate { it.workerId to "t" })
+            sent.desk.want(step, longTerms, workers.take(1), 0.0, 0)
+            sent.desk.dispatch(hosts, 0)
+            sent.desk.answered(hosts[0], sent.calls[0].callId, tickets, 500)
+            sent.desk.want(step, longTerms, workers.drop(1), 0.0, 500)
+            sent.desk.dispatch(hosts, 500)
+            sent.desk.answered(hosts[0], sent.calls[1].callId, tickets, 1_000)
+            sent.desk.dropTicket(step, "w2")
+            sent.desk.want(step, longTerms, workers, 0.0, 2_100)
+            sent.desk.dispatch(hosts, 2_100)
+            sent.calls.last().asked shouldBe workers
+            sent.desk.ticket(step, "w1", boot = 1, untilMs = 2_200)?.text shouldBe "t"
+        }
+
+        test("a step that needs more workers than fit in a call waits for one call only") {
+            val sent = Sent()
+            val many = List(150) { Candidate("w$it", boot = 1) }
+            sent.desk.want(stepId("s"), longTerms, many, 0.0, 0)
+            sent.desk.dispatch(hosts, 0)
+            sent.calls.map { it.asked.size } shouldBe listOf(75, 75)
+            sent.calls.map { it.hostId }.toSet() shouldHaveSize 2
+        }
+
+        test("a step does not wait for the answer of a host that is gone") {
+            val sent = Sent()
+            sent.desk.want(stepId("s"), longTerms, workers, 0.0, 0)
+            sent.desk.dispatch(hosts, 0)
+            val first = sent.calls.single()
+            val others = hosts - first.hostId
+            sent.desk.dispatch(others, 10)
+            sent.calls shouldHaveSize 2
+            sent.calls.last().asked shouldBe first.asked
+        }
+
         test("a worker that the policy refuses is not asked about again") {
             val sent = Sent()
             sent.desk.want(stepId("s"), shortTerms, workers, 0.0, 0)
--- a/src/test/kotlin/dev/jackdawdale/push/AdvisedCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/AdvisedCell.kt
@@ -9,7 +9,6 @@
 import dev.jackdawdale.staged.StageTaskId
 import dev.jackdawdale.staged.StagedEvent
 import dev.jackdawdale.staged.StagedJob
-import dev.jackdawdale.staged.StagedJobSpec
 import dev.jackdawdale.staged.StagedState
 import dev.jackdawdale.staged.counted
 import dev.jackdawdale.staged.job
--- a/src/test/kotlin/dev/jackdawdale/push/ChooseWorkersTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/ChooseWorkersTest.kt
@@ -14,14 +14,16 @@
     freeCpuMillis: Long,
     rack: String = "r1",
     suspect: Boolean = false,
-    ofStep: Int = 0
+    ofStep: Int = 0,
+    ticketed: Boolean = true
 ) = WorkerRoom(
     id,
     rack,
     listOf("a", rack),
     Resources(freeCpuMillis, memoryMib = 64_000),
     suspect,
-    ofStep
+    ofStep,
+    ticketed
 )
 
 private fun tasks(count: Int, failedOn: List<String> = emptyList()) =
@@ -35,6 +37,13 @@
     val chosen: Map<Int, String>
 )
 
+private class AskCase(
+    val name: String,
+    val isLong: Boolean,
+    val tasks: Int,
+    val asked: List<String>
+)
+
 class ChooseWorkersTest :
     FunSpec({
         context("tasks get workers that hold them") {
@@ -107,6 +116,13 @@
                     listOf(room("w1", 5_000), room("w2", 64_000)),
                     mapOf(0 to "w2")
                 ),
+                ChoiceCase(
+                    "a worker with a ticket goes before one that needs further advice",
+                    step(4_000),
+                    tasks(1),
+                    listOf(room("w1", 5_000, ticketed = false), room("w2", 64_000)),
+                    mapOf(0 to "w2")
+                ),
                 ChoiceCase(
                     "work goes to the rack of its data",
                     step(4_000).copy(dataRack = "r2"),
@@ -118,4 +134,40 @@
                 chooseWorkers(case.step, case.tasks, case.rooms) shouldBe case.chosen
             }
         }
+
+        context("the adviser is asked about workers that can take the tasks") {
+            withData(
+                nameFn = { it.name },
+                AskCase(
+                    "a short call takes empty workers from large tasks",
+                    isLong = false,
+                    tasks = 2,
+                    asked = (1..16).map { "w$it" }
+                ),
+                AskCase(
+                    "a long call is about room that is gone when its answer comes",
+                    isLong = true,
+                    tasks = 2,
+                    asked = (30 downTo 15).map { "w$it" }
+                ),
+                AskCase(
+                    "a wide step is asked about too few workers",
+                    isLong = true,
+                    tasks = 30,
+                    asked = (30 downTo 6).map { "w$it" }
+                ),
+                AskCase(
+                    "workers without room are asked about before those with room",
+                    isLong = true,
+                    tasks = 500,
+                    asked = (30 downTo 1).map { "w$it" } + "full" + "suspect"
+                )
+            ) { case ->
+                val rooms = (1..30).map { room("w$it", it * 4_000L) } +
+                    room("suspect", 64_000, suspect = true) +
+                    room("full", 3_000)
+                chooseAsked(step(4_000), case.tasks, rooms, 0.1, case.isLong, seed = 1)
+                    .map { it.workerId } shouldBe case.asked
+            }
+        }
     })
--- a/src/test/kotlin/dev/jackdawdale/push/MixedLoad.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/MixedLoad.kt
@@ -56,8 +56,7 @@
     private val objectives = HashMap<String, Long>()
     private var number = 0
 
-    fun allowedPercent(): Map<String, Int> =
-        kinds.associate { it.queue.name to it.allowedPercent }
+    fun allowedPercent(): Map<String, Int> = kinds.associate { it.queue.name to it.allowedPercent }
 
     /** How long a task works; the tasks of a job differ little. */
     fun runMs(jobId: String): Long = runTimes.getValue(jobId)
@@ -77,7 +76,8 @@
             val jobs = jobIds.map { checkNotNull(cell.job(it)) { "job $it is not known" } }
             val done = jobs.filter { it.outcome == JobOutcome.COMPLETED }
             val onTime = done.count { job ->
-                checkNotNull(job.endedAtMs) - job.acceptedAtMs <= objectives.getValue(job.spec.jobId)
+                checkNotNull(job.endedAtMs) - job.acceptedAtMs <=
+                    objectives.getValue(job.spec.jobId)
             }
             Served(jobs.size, onTime, jobs.filter { it.outcome == null }.map { it.spec.jobId })
         }
