Serve metrics of staged jobs on control hosts

Cause: the processes of the platform served no metrics; only the host command did.

Change: a control host serves GET /metrics on the last of the internal ports, with waiting steps by reason, time from acceptance to the first placement, calls for advice and the cost of passes. deploy/system.toml names it for the control role. Entry hosts have no registry.

Conclusion: the measures of an incident can be read while it lasts.

--- a/src/main/kotlin/dev/jackdawdale/entry/ProcessRoutes.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/ProcessRoutes.kt
@@ -22,9 +22,7 @@
 ): List<Route> = listOf(
     Route("GET", "/ready", Access.ANYONE) { healthResult(notReadyBecause()) },
     Route("GET", "/live", Access.ANYONE) { healthResult(null) },
-    Route("GET", "/metrics", Access.ANYONE) {
-        HttpResult(200, METRICS_TYPE, registry.scrape().encodeToByteArray())
-    },
+    metricsRoute(registry),
     Route("GET", "/v1/timeline", Access.OPERATOR) { call ->
         call.allowQuery("subject")
         val events = timeline(call.queryText("subject"))
@@ -32,6 +30,12 @@
     }
 )
 
+/** The call that prints the metrics of [registry]. */
+internal fun metricsRoute(registry: PrometheusMeterRegistry): Route =
+    Route("GET", "/metrics", Access.ANYONE) {
+        HttpResult(200, METRICS_TYPE, registry.scrape().encodeToByteArray())
+    }
+
 private fun healthResult(reason: String?): HttpResult = jsonResult(
     if (reason ==
         null
--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -12,6 +12,7 @@
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.push.AdviceCall
 import dev.jackdawdale.push.LeaderSurroundings
+import dev.jackdawdale.push.PushMeters
 import dev.jackdawdale.push.PushSettings
 import dev.jackdawdale.push.StagedControl
 import dev.jackdawdale.push.WorkerCalls
@@ -58,6 +59,7 @@
  *
  * @param storageFailed called once when the disk can no longer be trusted
  * @param workerCalls how orders reach workers; without it staged jobs are not served
+ * @param pushMeters what the metrics page shows of staged jobs
  */
 internal class ControlRole(
     settings: Settings,
@@ -68,7 +70,8 @@
     replicaSettings: ReplicaSettings = settings.forReplica(),
     controlSettings: ControlSettings = settings.forControl(),
     pushSettings: PushSettings = PushSettings(),
-    workerCalls: WorkerCalls? = null
+    workerCalls: WorkerCalls? = null,
+    pushMeters: PushMeters = PushMeters()
 ) : AutoCloseable {
     private val control: ScheduledExecutorService = singleThread("control")
     private val storageThread = singleThread("storage")
@@ -111,7 +114,8 @@
                 clock = clock,
                 callingHosts = { loop.callingHosts },
                 askAdvice = ::askAdvice,
-                passCost = passCost
+                passCost = passCost,
+                meters = pushMeters
             )
         )
     }
--- a/src/main/kotlin/dev/jackdawdale/platform/DemoCommand.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/DemoCommand.kt
@@ -13,7 +13,7 @@
 import picocli.CommandLine.Option
 
 private const val WORKERS = 3
-private const val PORTS = 4
+private const val PORTS = 5
 private const val TIMEOUT_MS = 20_000L
 private const val ASK_EVERY_MS = 50L
 private const val LOOPBACK = "127.0.0.1"
@@ -66,6 +66,7 @@
             until { cell.operator("PUT", "/instances/${worker.id}", report).status == OK }
         }
         until { cell.caller("POST", "$QUEUE$JOB_ID", job).status == OK }
+        until { cell.metrics().status == OK }
         until { "completed" in cell.caller("GET", "$QUEUE$JOB_ID").body }
     }
 
--- a/src/main/kotlin/dev/jackdawdale/platform/LoopbackCell.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/LoopbackCell.kt
@@ -19,7 +19,7 @@
  * One process of the platform with stand-in workers and an adviser, all on loopback, for tests and
  * demonstrations.
  *
- * @param ports four free ports
+ * @param ports five free ports
  */
 internal class LoopbackCell(val workers: List<StandInWorker>, ports: List<Int>) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -29,6 +29,7 @@
     private val callers = Address(LOOPBACK, ports[1])
     private val readiness = Address(LOOPBACK, ports[2])
     private val operators = Address(LOOPBACK, ports[3])
+    private val metrics = Address(LOOPBACK, ports[4])
     private val host: PlatformHost
 
     init {
@@ -46,6 +47,7 @@
                 callers = callers,
                 readiness = readiness,
                 operators = operators,
+                metrics = metrics,
                 adviser = adviser.address,
                 lossesBorne = 0,
                 gracePeriodMs = 0
@@ -62,6 +64,8 @@
 
     suspend fun readiness(): Got = call(readiness, "GET", "/readiness", "")
 
+    suspend fun metrics(): Got = call(metrics, "GET", "/metrics", "")
+
     override fun close() {
         host.stop()
         workers.forEach { it.close() }
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -7,6 +7,7 @@
 import dev.jackdawdale.entry.HttpSettings
 import dev.jackdawdale.entry.Route
 import dev.jackdawdale.entry.httpServer
+import dev.jackdawdale.entry.metricsRoute
 import dev.jackdawdale.host.ControlRole
 import dev.jackdawdale.host.forControl
 import dev.jackdawdale.host.forPeers
@@ -16,6 +17,7 @@
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.outgoing.CallerSettings
 import dev.jackdawdale.outgoing.HttpCaller
+import dev.jackdawdale.push.PushMeters
 import dev.jackdawdale.push.PushSettings
 import dev.jackdawdale.raft.RaftSettings
 import dev.jackdawdale.replica.ReplicaSettings
@@ -25,6 +27,7 @@
 import dev.jackdawdale.settings.Settings
 import dev.jackdawdale.settings.defaultSettings
 import dev.jackdawdale.storage.StorageError
+import dev.jackdawdale.telemetry.prometheusRegistry
 import dev.jackdawdale.wire.ControlClient
 import dev.jackdawdale.wire.ControlClientCallbacks
 import dev.jackdawdale.wire.ControlMessage
@@ -96,11 +99,14 @@
     private val client =
         PlatformClient(HttpCaller(CallerSettings(), outgoing), pushSettings)
 
+    private val registry = settings.metrics?.let { prometheusRegistry(settings.hostName) }
+    private val meters = registry?.let(::PushMeters) ?: PushMeters()
+
     private val control: ControlRole? = settings.operators?.let {
         ControlRole(
             hostSettings,
             peerSettings(),
-            ControlObserver(roleChanged = ::roleChanged),
+            ControlObserver(passFinished = meters::passed, roleChanged = ::roleChanged),
             clock,
             ::storageFailed,
             replicaSettings(),
@@ -111,7 +117,8 @@
                 confirmEveryMs = CONFIRM_EVERY_MS
             ),
             pushSettings,
-            client.workerCalls
+            client.workerCalls,
+            meters
         )
     }
     private val session: ControlClient? = settings.callers?.let {
@@ -137,6 +144,9 @@
         settings.callers?.let { address ->
             val routes = CallerRoutes(checkNotNull(session), clock)
             httpServer(address.toHttp(), emptyList(), fallback = routes.route)
+        },
+        settings.metrics?.let { address ->
+            httpServer(address.toHttp(), listOf(metricsRoute(checkNotNull(registry))))
         }
     )
     private val readiness: HttpServer? = settings.readiness?.let { address ->
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformSettings.kt
@@ -22,6 +22,8 @@
  * @property callers where callers connect, or null
  * @property readiness where the balancer asks for readiness, or null
  * @property operators where operators and workers connect, or null
+ * @property metrics where a control host serves its metrics, or null; on the last of the internal
+ *   ports, as `metrics` in deploy/system.toml says
  * @property adviser where the adviser listens, or null
  * @property lossesBorne machines with a disk that may be lost at the same time
  */
@@ -36,6 +38,7 @@
     val callers: Address?,
     val readiness: Address?,
     val operators: Address?,
+    val metrics: Address?,
     val adviser: String?,
     val lossesBorne: Int,
     val gracePeriodMs: Long
@@ -47,17 +50,22 @@
 
 internal fun platformSettings(fields: JsonObject): PlatformSettings {
     val listen = fields.objectOrNull("listen") ?: JsonObject(emptyMap())
+    val hostIp = fields.text("ip")
+    val ports = fields.array("internalPortRange").map { it.asLong("internalPortRange").toInt() }
+    val operators = listen.textOrNull("control")?.let(::address)
     return PlatformSettings(
         hostName = fields.text("nodeName"),
-        hostIp = fields.text("ip"),
+        hostIp = hostIp,
         failureDomain = fields.text("zone"),
-        peerPort = fields.array("internalPortRange").first().asLong("internalPortRange").toInt(),
+        peerPort = ports.first(),
         seeds = fields.array("seeds").map { address(it.asText("seeds")) },
         firstStart = fields.flag("bootstrap"),
         dataFolder = fields.textOrNull("dataDir")?.takeIf { it.isNotEmpty() }?.let(Path::of),
         callers = listen.textOrNull("front")?.let(::address),
         readiness = listen.textOrNull("ready")?.let(::address),
-        operators = listen.textOrNull("control")?.let(::address),
+        operators = operators,
+        metrics = operators?.let { Address(hostIp, ports.last()) }
+            ?.takeIf { it.port != ports.first() },
         adviser = fields.textOrNull("advice"),
         lossesBorne = fields.objectOrNull("faultTolerance")?.longOrNull("machines")?.toInt() ?: 0,
         gracePeriodMs = fields.objectOrNull("bounds")?.doubleOrNull("graceS")
--- a/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
@@ -15,6 +15,7 @@
  * @property quorumHeardMs when a quorum was heard last
  * @property callingHosts entry hosts that can ask the adviser
  * @property passCost what the passes of the control loop cost
+ * @property meters what the metrics page shows of staged jobs
  */
 internal class LeaderSurroundings(
     val calls: WorkerCalls,
@@ -23,7 +24,8 @@
     val clock: () -> Long,
     val callingHosts: () -> Set<HostId>,
     val askAdvice: (AdviceCall) -> Boolean,
-    val passCost: PassCost = PassCost()
+    val passCost: PassCost = PassCost(),
+    val meters: PushMeters = PushMeters()
 )
 
 /** What the parts of a leader share. Used on the control thread only. */
--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/push/PushMeters.kt
@@ -0,0 +1,82 @@
+package dev.jackdawdale.push
+
+import dev.jackdawdale.staged.StepSpec
+import dev.jackdawdale.telemetry.WorkClass
+import dev.jackdawdale.telemetry.decisionTimer
+import dev.jackdawdale.telemetry.waitTimer
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.composite.CompositeMeterRegistry
+import java.util.concurrent.TimeUnit
+
+/** How a call for advice was answered. */
+internal enum class AdviceEnd { GIVEN, FAILED }
+
+/** The measures of staged jobs at the leader. */
+internal class PushMeters(registry: MeterRegistry = CompositeMeterRegistry()) {
+    @Volatile
+    private var waiting: Map<WaitReason, Int> = emptyMap()
+    private val starts = listOf(WorkClass.BATCH, WorkClass.GANG, WorkClass.SERVICE).associateWith {
+        waitTimer(
+            registry,
+            "jackdawdale.wait.before.start",
+            "Time from acceptance to first placement",
+            "class",
+            it.name.lowercase()
+        )
+    }
+    private val calls = AdviceEnd.entries.associateWith {
+        waitTimer(
+            registry,
+            "jackdawdale.advice.calls",
+            "Time of calls for advice, by how they were answered",
+            "end",
+            it.name.lowercase()
+        )
+    }
+    private val late = Counter.builder("jackdawdale.advice.late")
+        .description("Answers to calls for advice that were given up before")
+        .register(registry)
+    private val passes = decisionTimer(
+        registry,
+        "jackdawdale.control.decision",
+        "Time of the control thread for one pass",
+        "decision",
+        "pass"
+    )
+
+    init {
+        WaitReason.entries.forEach { reason ->
+            Gauge.builder("jackdawdale.steps.waiting") { waiting[reason] ?: 0 }
+                .description("Steps that wait, by what they lack")
+                .tag("reason", reason.name.lowercase())
+                .register(registry)
+        }
+    }
+
+    /** Steps that wait now; none at a replica that does not lead. */
+    fun waiting(byReason: Map<WaitReason, Int>) {
+        waiting = byReason
+    }
+
+    /** The first task of a job was placed, [waitMs] after the job's acceptance. */
+    fun started(spec: StepSpec, waitMs: Long) {
+        val workClass = when {
+            spec.longRunning -> WorkClass.SERVICE
+            spec.gang -> WorkClass.GANG
+            else -> WorkClass.BATCH
+        }
+        starts.getValue(workClass).record(waitMs, TimeUnit.MILLISECONDS)
+    }
+
+    /** A call for advice was answered after [tookMs]. */
+    fun advised(end: AdviceEnd, tookMs: Long) =
+        calls.getValue(end).record(tookMs, TimeUnit.MILLISECONDS)
+
+    /** A call for advice was answered after it had been given up. */
+    fun advisedLate() = late.increment()
+
+    /** A pass took [nanos] of the control thread. */
+    fun passed(nanos: Long) = passes.record(nanos, TimeUnit.NANOSECONDS)
+}
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -63,6 +63,7 @@
         if (waits.isDue(nowMs)) {
             ready.values.flatten().forEach { findPaused(it, nowMs) }
             waits.report(nowMs) { context.desk.facts(it, nowMs) }
+            context.around.meters.waiting(waits.byReason)
         }
     }
 
@@ -166,6 +167,9 @@
         val placed = chosen.map { (index, workerId) ->
             PlacedTask(index, workerId, context.links.getValue(workerId).worker.boot)
         }
+        if (job.startedAtMs == null) {
+            context.around.meters.started(step.spec, pass.nowMs - job.acceptedAtMs)
+        }
         context.emit(pass, StagedEvent.TasksPlaced(step.id, run, context.term, placed))
         context.decisions.line(pass.nowMs, job.spec.jobId) {
             val leftMs = step.latestStartMs - pass.nowMs
@@ -199,7 +203,10 @@
         if (result !is AdviceResult.Given) {
             log.warn("advice call {} at {}: {}", callId, hostId, result)
         }
-        val call = context.desk.answered(hostId, callId, result, pass.nowMs) ?: return
+        val call = context.desk.answered(hostId, callId, result, pass.nowMs)
+            ?: return context.around.meters.advisedLate()
+        val end = if (result is AdviceResult.Given) AdviceEnd.GIVEN else AdviceEnd.FAILED
+        context.around.meters.advised(end, pass.nowMs - call.sentAtMs)
         context.decisions.line(pass.nowMs, call.stepId.jobId) {
             val given = (result as? AdviceResult.Given)?.tickets?.size ?: 0
             val tookMs = pass.nowMs - call.sentAtMs
--- a/src/test/kotlin/dev/jackdawdale/platform/PlatformCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/platform/PlatformCell.kt
@@ -5,7 +5,7 @@
 import io.kotest.matchers.shouldBe
 import kotlin.time.Duration.Companion.seconds
 
-private const val PORTS = 4
+private const val PORTS = 5
 
 /** Starts a cell over [workers] on free ports. */
 internal fun platformCell(workers: List<StandInWorker>) = LoopbackCell(workers, freePorts(PORTS))
--- a/src/test/kotlin/dev/jackdawdale/platform/PlatformContractTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/platform/PlatformContractTest.kt
@@ -96,6 +96,23 @@
             }
         }
 
+        test("the metrics address shows the work of the leader") {
+            platformCell(listOf(StandInWorker("i-1"), StandInWorker("i-2"))).use { cell ->
+                cell.open(configuration(5), SERVICE)
+                cell.caller("POST", "$QUEUE$JOB", job(3)).status shouldBe 200
+                eventually(10.seconds) {
+                    cell.caller("GET", "$QUEUE$JOB").body shouldContain "completed"
+                }
+                eventually(10.seconds) {
+                    val page = cell.metrics().body
+                    page shouldContain
+                        Regex("wait_before_start_seconds_count.class=\"batch\".* 1\\b")
+                    page shouldContain Regex("advice_calls_seconds_count.end=\"given\".* [1-9]")
+                    page shouldContain Regex("steps_waiting.*reason=\"no_room\".* 0.0")
+                }
+            }
+        }
+
         test("an order that is carried out late does not run its task twice") {
             val late = StandInWorker("i-1", taskMs = 400) { order ->
                 if (order % 2 == 1) OrderFault(answerLost = true, delayMs = 700) else OrderFault()
