Tell lapsed tickets from a changed choice of workers in the log

Cause: the line of a waiting step counted the chosen workers that the last call had not asked about. These may have had a valid ticket when the call began, or may not have been chosen then, which are different causes.

Conclusion: whether tickets lapse in turn or the choice changes can be read from the line.

--- a/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
@@ -61,6 +61,9 @@
     /** True when the step has been asked about and the answer has come. */
     fun isAnswered(stepId: StepId): Boolean = steps[stepId]?.asked?.isNotEmpty() ?: false
 
+    /** True while a call for the step is under way. */
+    fun isCalling(stepId: StepId): Boolean = steps[stepId]?.inFlight ?: false
+
     /** The ticket for [workerId], or null when there is none that still serves at [untilMs]. */
     fun ticket(stepId: StepId, workerId: String, boot: Long, untilMs: Long): Ticket? =
         steps[stepId]?.tickets?.get(workerId)
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -122,9 +122,10 @@
         val missing = choice.unticketed.values.toSet()
         context.desk.askedInAnswerAt(step.id, nowMs)?.let { asked ->
             val ids = asked.mapTo(HashSet()) { it.workerId }
-            val use = AnswerUse(chosen.size, missing.size, missing.count { it !in ids })
-            waits.answerUsed(step.id, use)
+            val before = waits.chosenBeforeCall(step.id)
+            waits.answerUsed(step.id, answerUse(before, ids, chosen, missing))
         }
+        if (!context.desk.isCalling(step.id)) waits.chosenBeforeCall(step.id, chosen)
         if (!waits.isDue(nowMs)) return
         val placed = if (step.spec.gang) 0 else choice.chosen.size - choice.unticketed.size
         val facts = step.facts().copy(
--- a/src/main/kotlin/dev/jackdawdale/push/StepWaits.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepWaits.kt
@@ -17,6 +17,7 @@
     private val lines = DecisionLog(log, LONGEST_WAITING)
     private val sinceMs = HashMap<String, Map<StepId, Long>>()
     private val answers = HashMap<StepId, AnswerUse>()
+    private val chosen = HashMap<StepId, Set<String>>()
     private val seen = LinkedHashMap<StepId, Pair<WaitFacts, () -> Int>>()
     private var dueMs = Long.MIN_VALUE
 
@@ -32,12 +33,23 @@
         } else {
             sinceMs[jobId] = steps.associateWith { before[it] ?: nowMs }
         }
-        before.keys.filter { it !in steps }.forEach(answers::remove)
+        before.keys.filter { it !in steps }.forEach {
+            answers.remove(it)
+            chosen.remove(it)
+        }
     }
 
     /** Whether this pass is to end with a report. */
     fun isDue(nowMs: Long): Boolean = nowMs >= dueMs
 
+    /** The step's [workers] were chosen in this pass, and no call for it is under way. */
+    fun chosenBeforeCall(stepId: StepId, workers: Set<String>) {
+        chosen[stepId] = workers
+    }
+
+    /** The workers that were chosen for the step when its last call began. */
+    fun chosenBeforeCall(stepId: StepId): Set<String> = chosen[stepId].orEmpty()
+
     /** An answer about the step came in this pass and served the choice as [use] tells. */
     fun answerUsed(stepId: StepId, use: AnswerUse) {
         answers[stepId] = use
--- a/src/main/kotlin/dev/jackdawdale/push/WaitReason.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WaitReason.kt
@@ -60,9 +60,36 @@
  *
  * @property chosen workers chosen in that pass
  * @property missing chosen workers without a valid ticket
- * @property notAsked those of [missing] that the call had not asked about
+ * @property lapsed those of [missing] that had a valid ticket when the call began
+ * @property added those of [missing] that were not chosen yet when the call began
  */
-internal data class AnswerUse(val chosen: Int, val missing: Int, val notAsked: Int)
+internal data class AnswerUse(
+    val chosen: Int,
+    val missing: Int,
+    val lapsed: Int = 0,
+    val added: Int = 0
+)
+
+/**
+ * Compares the choice of workers when a call began, [before], with the one after its answer.
+ *
+ * @param asked workers that the call asked about: those of [before] without a valid ticket
+ * @param missing those of [chosen] without a valid ticket
+ */
+internal fun answerUse(
+    before: Set<String>,
+    asked: Set<String>,
+    chosen: Set<String>,
+    missing: Set<String>
+): AnswerUse {
+    val notAsked = missing - asked
+    return AnswerUse(
+        chosen.size,
+        missing.size,
+        lapsed = notAsked.count { it in before },
+        added = notAsked.count { it !in before }
+    )
+}
 
 /** Why the step waits. */
 internal fun WaitFacts.reason(): WaitReason = when {
@@ -100,7 +127,8 @@
         else -> "call behind $behind steps"
     }
     val use = lastAnswer?.let {
-        "; after the last answer ${it.missing} of ${it.chosen} missing, ${it.notAsked} not asked"
+        "; after the last answer ${it.missing} of ${it.chosen} missing, " +
+            "${it.lapsed} lapsed, ${it.added} chosen since the call began"
     }
     return "$next, $calls calls made${use.orEmpty()}"
 }
