--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -73,6 +73,7 @@
         if (waits.isDue(nowMs)) {
             ready.values.flatten().forEach { findPaused(it, nowMs) }
             waits.report(nowMs) { context.desk.facts(it, nowMs) }
+            context.around.meters.waiting(waits.byReason)
         }
     }
 
@@ -129,9 +130,10 @@
         val missing = choice.unticketed.values.toSet()
         context.desk.askedInAnswerAt(step.id, nowMs)?.let { asked ->
             val ids = asked.mapTo(HashSet()) { it.workerId }
-            val use = AnswerUse(chosen.size, missing.size, missing.count { it !in ids })
-            waits.answerUsed(step.id, use)
+            val before = waits.chosenBeforeCall(step.id)
+            waits.answerUsed(step.id, answerUse(before, ids, chosen, missing))
         }
+        waits.chosenBeforeCall(step.id, chosen)
         if (!waits.isDue(nowMs)) return
         val placed = if (step.spec.gang) 0 else choice.chosen.size - choice.unticketed.size
         val facts = step.facts().copy(
@@ -221,6 +223,9 @@
         val placed = chosen.map { (index, workerId) ->
             PlacedTask(index, workerId, context.links.getValue(workerId).worker.boot)
         }
+        if (job.startedAtMs == null) {
+            context.around.meters.started(step.spec, pass.nowMs - job.acceptedAtMs)
+        }
         context.emit(pass, StagedEvent.TasksPlaced(step.id, run, context.term, placed))
         context.decisions.line(pass.nowMs, job.spec.jobId) {
             val leftMs = step.latestStartMs - pass.nowMs
@@ -254,7 +259,10 @@
         if (result !is AdviceResult.Given) {
             log.warn("advice call {} at {}: {}", callId, hostId, result)
         }
-        val call = context.desk.answered(hostId, callId, result, pass.nowMs) ?: return
+        val call = context.desk.answered(hostId, callId, result, pass.nowMs)
+            ?: return context.around.meters.advisedLate()
+        val end = if (result is AdviceResult.Given) AdviceEnd.GIVEN else AdviceEnd.FAILED
+        context.around.meters.advised(end, pass.nowMs - call.sentAtMs)
         context.decisions.line(pass.nowMs, call.stepId.jobId) {
             val given = (result as? AdviceResult.Given)?.tickets?.size ?: 0
             val tookMs = pass.nowMs - call.sentAtMs
