--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -24,7 +24,6 @@
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.replica")
-private const val LAG_LOG_EVERY_MS = 1_000L
 
 /**
  * One member of the replicated log. All functions are called on the control thread; times are
@@ -67,7 +66,7 @@
     private var appliedIndex = state.commitIndex
     private var nowMs = 0L
     private var helloDueMs = 0L
-    private var lagDueMs = 0L
+    private val membersBehind = MembersBehind()
     private var stopped = false
     private var storageError: StorageError? = null
     private var writes = mutableListOf<StorageWrite>()
@@ -89,7 +88,7 @@
         run(RaftInput.Tick)
         introduce()
         takeSnapshotIfDue()
-        logMembersBehind()
+        membersBehind.tick(state, nowMs)
         val others = state.membership.members.map { it.hostId }.filter { it != settings.hostId }
         fetcher?.tick(others, nowMs)
     }
@@ -245,24 +244,6 @@
         calls.committed(entry)
     }
 
-    /** A member that does not catch up is as good as lost, and does not show it otherwise. */
-    private fun logMembersBehind() {
-        if (!state.ready || nowMs < lagDueMs) return
-        lagDueMs = nowMs + LAG_LOG_EVERY_MS
-        for ((id, peer) in state.peers) {
-            val missing = state.lastIndex - peer.matchIndex
-            if (missing <= settings.raft.promoteWithinEntries) continue
-            log.info(
-                "member {} lacks {} of {} entries: {}, {} bytes in flight",
-                state.membership.member(id)?.hostId,
-                missing,
-                state.lastIndex,
-                peer.mode,
-                peer.inFlight.sumOf { it.bytes }
-            )
-        }
-    }
-
     private fun install(effect: RaftEffect.Install) {
         val snapshot = snapshots.received(effect.meta)
         queue.submit(
--- a/src/main/kotlin/dev/jackdawdale/wire/Frames.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/Frames.kt
@@ -18,10 +18,7 @@
  * @param onBytes called whenever a part of the frame has arrived
  * @throws BadFrame when the length is negative or greater than [maxBytes]
  */
-internal suspend fun ByteReadChannel.readFrame(
-    maxBytes: Int,
-    onBytes: () -> Unit = {}
-): ByteArray {
+internal suspend fun ByteReadChannel.readFrame(maxBytes: Int, onBytes: () -> Unit = {}): ByteArray {
     val length = readInt()
     onBytes()
     if (length !in 0..maxBytes) {
