--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -50,6 +50,7 @@
 private const val REACHABLE_MS = 2_000L
 private const val HANDOVER_TIMEOUT_MS = 5_000L
 private const val HANDOVER_POLL_MS = 50L
+private const val LOAD_LINE_EVERY_MS = 5_000L
 
 /**
  * The control role of a process: one control thread with the replica and the control loop, one
@@ -81,6 +82,7 @@
         onFailed = storageFailed
     )
     private val links = HashMap<ControlSession, TransportLink>()
+    private val load = ControlLoad(LOAD_LINE_EVERY_MS)
 
     private val network: PeerNetwork<RaftMessage> = peerNetwork(
         peer,
@@ -120,7 +122,12 @@
         records = recordAccess(records, recordReader, control),
         clock = clock,
         wakeUp = ::schedulePass,
-        observer = observer,
+        observer = observer.copy(
+            passFinished = { nanos ->
+                load.passFinished(nanos)
+                observer.passFinished(nanos)
+            }
+        ),
         extension = staged?.extension ?: ControlExtension()
     )
 
@@ -128,7 +135,7 @@
         replicaSettings,
         folder,
         ReplicaCallbacks(
-            send = { to, message -> network.send(to, message) },
+            send = { to, message -> if (network.send(to, message)) load.sent(message) },
             apply = loop::applyCommitted,
             restore = { _, snapshot -> loop.restore(snapshot) },
             capture = loop::capture,
@@ -204,6 +211,7 @@
     private fun tick() = guarded {
         replica.tick(clock())
         loop.runPass()
+        load.tick(clock())
     }
 
     private fun schedulePass() {
@@ -215,8 +223,9 @@
     }
 
     private fun onControl(action: () -> Unit) {
+        val askedNanos = System.nanoTime()
         try {
-            control.execute { guarded(action) }
+            control.execute { guarded { load.run(askedNanos, action) } }
         } catch (e: RejectedExecutionException) {
             log.debug("the control thread has stopped: {}", e.message)
         }
