Bound what is sent to a replica that catches up

Cause: two of five replicas had been cut off for 7 s. When they came back, the leader sent each one its missing entries in messages of 512 KiB, up to 64 of them unanswered, and while a replica had not answered the first one it was sent again with every heartbeat (80 ms). The replica must receive a message whole within 450 ms, or it closes the connection as silent; then all of it began anew. The transfer never ended, and it took the processor time of the leader, so that commits took 170 ms instead of 20, heartbeats came late and a quorum was lost. The next leader had the same two replicas to serve and fell in the same way: terms 3 to 8 within 4.4 s.

Each answered message is progress that a broken connection does not undo, and what one replica takes of the leader is bounded.

--- a/src/main/kotlin/dev/jackdawdale/raft/RaftMessage.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftMessage.kt
@@ -5,8 +5,11 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** Longest run of payload bytes in one message; keeps encoded messages under 1 MiB. */
-internal const val MAX_MESSAGE_PAYLOAD_BYTES = 512 * 1024
+/**
+ * Longest run of payload bytes in one message. A message must arrive whole before its connection
+ * counts as silent, also between hosts short of processor time.
+ */
+internal const val MAX_MESSAGE_PAYLOAD_BYTES = 64 * 1024
 
 /** Messages between control replicas. */
 @Serializable
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
@@ -12,6 +12,8 @@
  *
  * @property targetMembers a silent member is removed while there are more than this many, so that a
  *   replacement at another address takes its place; null keeps every member
+ * @property maxInFlightBytes entries sent to one peer and not answered; a peer that lacks much must
+ *   not take the processor time and the network of those that make the quorum
  * @property replaceAfterMs silence after which a member counts as replaced
  * @property startPatienceMs how long a replica that has just started waits for a leader; asking
  *   for votes disturbs no leader that a quorum hears
@@ -24,6 +26,7 @@
     val suspectAfterMs: Long = electionTimeoutMs / 3,
     val maxAppendBytes: Int = MAX_MESSAGE_PAYLOAD_BYTES,
     val maxInFlightAppends: Int = 64,
+    val maxInFlightBytes: Int = 2 * MAX_MESSAGE_PAYLOAD_BYTES,
     val promoteWithinEntries: Long = 256,
     val targetMembers: Int? = null,
     val replaceAfterMs: Long = 3_000
@@ -33,7 +36,7 @@
 
 /** How the leader replicates to one peer. */
 internal enum class Mode {
-    /** One message at a time until the common prefix of the logs is known. */
+    /** One short message at a time until the common prefix of the logs is known. */
     PROBE,
 
     /** Entries are sent without waiting for earlier replies. */
@@ -46,14 +49,14 @@
 /**
  * What the leader knows of one peer.
  *
- * @property inFlight last index of each append that was not answered
+ * @property inFlight appends that were not answered
  * @property waiting in [Mode.PROBE]: an append was sent and not answered since the last heartbeat
  */
 internal data class Progress(
     val matchIndex: Long = 0,
     val nextIndex: Long,
     val mode: Mode = Mode.PROBE,
-    val inFlight: PersistentList<Long> = persistentListOf(),
+    val inFlight: PersistentList<SentAppend> = persistentListOf(),
     val waiting: Boolean = false,
     val snapshotIndex: Long = 0,
     val snapshotOffset: Long = 0,
@@ -61,6 +64,9 @@
     val lastHeardMs: Long
 )
 
+/** An append whose entries end with [lastIndex]. */
+internal data class SentAppend(val lastIndex: Long, val bytes: Int)
+
 /** A read that waits for a quorum to confirm the leader in [round]. */
 internal data class PendingRead(val readId: Long, val round: Long, val index: Long)
 
--- a/src/main/kotlin/dev/jackdawdale/raft/Replication.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/Replication.kt
@@ -56,22 +56,28 @@
             peer.nextIndex <= state.log.baseIndex -> return startSnapshot(id)
             peer.nextIndex > state.lastIndex -> return sent
             peer.mode == Mode.PROBE && peer.waiting -> return sent
-            peer.inFlight.size >= state.settings.maxInFlightAppends -> return sent
+            isWindowFull(peer) -> return sent
         }
-        val entries = state.log.slice(peer.nextIndex, state.settings.maxAppendBytes)
+        // A probe is repeated until it is answered, so it carries one entry only.
+        val maxBytes = if (peer.mode == Mode.PROBE) 0 else state.settings.maxAppendBytes
+        val entries = state.log.slice(peer.nextIndex, maxBytes)
         sendAppend(id, peer, entries)
         updatePeer(id) {
             if (it.mode == Mode.PROBE) {
                 it.copy(waiting = true)
             } else {
-                val last = entries.last().index
-                it.copy(nextIndex = last + 1, inFlight = it.inFlight.add(last))
+                val append = SentAppend(entries.last().index, entries.sumOf { e -> e.sizeBytes })
+                it.copy(nextIndex = append.lastIndex + 1, inFlight = it.inFlight.add(append))
             }
         }
         sent = true
     }
 }
 
+private fun StepScope.isWindowFull(peer: Progress): Boolean =
+    peer.inFlight.size >= state.settings.maxInFlightAppends ||
+        peer.inFlight.sumOf { it.bytes } >= state.settings.maxInFlightBytes
+
 /** Its reply also reveals appends that were lost: the peer lacks the previous entry. */
 internal fun StepScope.sendHeartbeat(id: ReplicaId) {
     val peer = state.peers[id] ?: return
@@ -113,7 +119,7 @@
             nextIndex = maxOf(peer.nextIndex, match + 1),
             mode = Mode.REPLICATE,
             waiting = false,
-            inFlight = peer.inFlight.filter { it > match }.toPersistentList()
+            inFlight = peer.inFlight.filter { it.lastIndex > match }.toPersistentList()
         )
     }
     advanceCommit()
--- a/src/test/kotlin/dev/jackdawdale/replica/TestCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/TestCell.kt
@@ -2,6 +2,7 @@
 
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.model.cellCbor
+import dev.jackdawdale.raft.Append
 import dev.jackdawdale.raft.RaftMessage
 import dev.jackdawdale.raft.ReplicaId
 import dev.jackdawdale.raft.Role
@@ -34,6 +35,13 @@
     /** Probability that a disk does not get on when it is its turn. */
     var diskLag = 0.0
     val cutOff = mutableSetOf<HostId>()
+
+    /** Messages for which this is true get lost. */
+    var isLost: (to: HostId, message: RaftMessage) -> Boolean = { _, _ -> false }
+
+    /** Payload bytes of the entries sent to a host, and the most that were on their way at once. */
+    val sentBytes = mutableMapOf<HostId, Long>()
+    val mostOnTheWay = mutableMapOf<HostId, Long>()
     private val network = mutableListOf<Envelope>()
 
     /** The commands committed so far by log index; an apply that differs fails the test. */
@@ -92,7 +100,10 @@
         private fun newStorage() = MemoryStorage(ReplicaId("r${++identities}"))
 
         private fun callbacks() = ReplicaCallbacks(
-            send = { to, message -> network += Envelope(hostId, to, message) },
+            send = { to, message ->
+                network += Envelope(hostId, to, message)
+                noteSent(to, message)
+            },
             apply = { index, payload ->
                 val command = payload.decodeToString()
                 val known = committed.getOrPut(index) { command }
@@ -139,6 +150,15 @@
         checkLeaders()
     }
 
+    private fun noteSent(to: HostId, message: RaftMessage) {
+        sentBytes.merge(to, message.entryBytes, Long::plus)
+        val onTheWay = network.filter { it.to == to }.sumOf { it.message.entryBytes }
+        mostOnTheWay.merge(to, onTheWay, ::maxOf)
+    }
+
+    private val RaftMessage.entryBytes: Long
+        get() = (this as? Append)?.entries.orEmpty().sumOf { it.payload.sizeBytes.toLong() }
+
     private fun deliverOne(): Boolean {
         if (network.isEmpty()) return false
         val position = if (random.nextDouble() < faults.reorder) {
@@ -150,7 +170,8 @@
         if (random.nextDouble() >= faults.duplicate) network.removeAt(position)
         val lost = random.nextDouble() < faults.drop ||
             envelope.from in cutOff ||
-            envelope.to in cutOff
+            envelope.to in cutOff ||
+            isLost(envelope.to, envelope.message)
         if (!lost) deliver(envelope)
         return true
     }
