Send a replica that catches up less at a time

What costs the processor time was not traced; suspected are writes to a full socket buffer, each of which waits for the selector.

--- a/src/main/kotlin/dev/jackdawdale/raft/RaftMessage.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftMessage.kt
@@ -9,7 +9,7 @@
  * Longest run of payload bytes in one message. A message must arrive whole before its connection
  * counts as silent, also between hosts short of processor time.
  */
-internal const val MAX_MESSAGE_PAYLOAD_BYTES = 64 * 1024
+internal const val MAX_MESSAGE_PAYLOAD_BYTES = 32 * 1024
 
 /** Messages between control replicas. */
 @Serializable
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
@@ -24,9 +24,9 @@
     val heartbeatMs: Long = 150,
     val startPatienceMs: Long = electionTimeoutMs,
     val suspectAfterMs: Long = electionTimeoutMs / 3,
-    val maxAppendBytes: Int = MAX_MESSAGE_PAYLOAD_BYTES,
+    val maxAppendBytes: Int = 16 * 1024,
     val maxInFlightAppends: Int = 64,
-    val maxInFlightBytes: Int = 2 * MAX_MESSAGE_PAYLOAD_BYTES,
+    val maxInFlightBytes: Int = 32 * 1024,
     val promoteWithinEntries: Long = 256,
     val targetMembers: Int? = null,
     val replaceAfterMs: Long = 3_000
