--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -49,10 +49,10 @@
 private val log = LogManager.getLogger("dev.jackdawdale.host")
 private const val RECORDS_FOLDER = "records"
 private const val TICK_MS = 20L
-private const val LATE_TICK_MS = 100L
 private const val REACHABLE_MS = 2_000L
 private const val HANDOVER_TIMEOUT_MS = 5_000L
 private const val HANDOVER_POLL_MS = 50L
+private const val LOAD_LINE_EVERY_MS = 5_000L
 
 /**
  * The control role of a process: one control thread with the replica and the control loop, one
@@ -79,7 +79,6 @@
     private val background = singleThread("snapshots")
     private val recordReader = singleThread("records")
     private val passScheduled = AtomicBoolean()
-    private var tickedMs = clock()
     private val folder = replicaFolder(dataFolder(settings))
     private val records = recordStore(
         dataFolder(settings).resolve(RECORDS_FOLDER),
@@ -87,6 +86,7 @@
         onFailed = storageFailed
     )
     private val links = HashMap<ControlSession, TransportLink>()
+    private val load = ControlLoad(LOAD_LINE_EVERY_MS)
 
     private val network: PeerNetwork<RaftMessage> = peerNetwork(
         peer,
@@ -137,6 +137,7 @@
         observer = observer.copy(
             passFinished = { nanos ->
                 passCost.add(nanos)
+                load.passFinished(nanos)
                 observer.passFinished(nanos)
             }
         ),
@@ -147,7 +148,7 @@
         replicaSettings,
         folder,
         ReplicaCallbacks(
-            send = { to, message -> network.send(to, message) },
+            send = { to, message -> if (network.send(to, message)) load.sent(message) },
             apply = loop::applyCommitted,
             restore = { _, snapshot -> loop.restore(snapshot) },
             capture = loop::capture,
@@ -221,17 +222,9 @@
     }
 
     private fun tick() = guarded {
-        val startMs = clock()
-        val lateMs = startMs - tickedMs - TICK_MS
-        if (lateMs > LATE_TICK_MS) log.warn("the control thread was late by {} ms", lateMs)
-        replica.tick(startMs)
-        val tickMs = clock() - startMs
+        replica.tick(clock())
         loop.runPass()
-        tickedMs = clock()
-        val passMs = tickedMs - startMs - tickMs
-        if (tickMs + passMs > LATE_TICK_MS) {
-            log.warn("a tick took {} ms and its pass {} ms", tickMs, passMs)
-        }
+        load.tick(clock())
     }
 
     private fun schedulePass() {
@@ -243,8 +236,9 @@
     }
 
     private fun onControl(action: () -> Unit) {
+        val askedNanos = System.nanoTime()
         try {
-            control.execute { guarded(action) }
+            control.execute { guarded { load.run(askedNanos, action) } }
         } catch (e: RejectedExecutionException) {
             log.debug("the control thread has stopped: {}", e.message)
         }
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
@@ -12,23 +12,24 @@
  *
  * @property targetMembers a silent member is removed while there are more than this many, so that a
  *   replacement at another address takes its place; null keeps every member
+ * @property maxInFlightBytes entries sent to one peer and not answered, unless a single one is
+ *   larger; a peer that lacks much must not take the processor time and the network of those that
+ *   make the quorum
  * @property replaceAfterMs silence after which a member counts as replaced
  * @property startPatienceMs how long a replica that has just started waits for a leader; asking
  *   for votes disturbs no leader that a quorum hears
  * @property suspectAfterMs how long a leader whose connection has ended may stay silent
  * @property maxAppendBytes size of one message to a peer that is behind; large ones hold up
  *   heartbeats behind them
- * @property maxInFlightBytes entries sent to one peer and not answered, unless a single one is
- *   larger
  */
 internal data class RaftSettings(
     val electionTimeoutMs: Long = 1_000,
     val heartbeatMs: Long = 150,
     val startPatienceMs: Long = electionTimeoutMs,
     val suspectAfterMs: Long = electionTimeoutMs / 3,
-    val maxAppendBytes: Int = 64 * 1024,
-    val maxInFlightBytes: Int = 512 * 1024,
+    val maxAppendBytes: Int = 16 * 1024,
     val maxInFlightAppends: Int = 64,
+    val maxInFlightBytes: Int = 32 * 1024,
     val promoteWithinEntries: Long = 256,
     val targetMembers: Int? = null,
     val replaceAfterMs: Long = 3_000
