Keep three copies of each commit while lost members come back

While two hosts that lost their disks joined again, what was acknowledged could rest on two disks, and two more lost disks with a loss of power would lose it.

For 7 s a quorum was two of three voters, beyond the 6 s after which a host no longer counts as lost.

Cause: each lost identity was removed as soon as its host asked to join, so a quorum shrank below the number of disks that may be lost plus one.

Fix: a member is removed only while a quorum stays as large as one of all wanted members. The second one waits until the first is a voter again.

Test: LostDisksTest, "two lost members that come back do not let a commit rest on two disks"; before, the quorum was 2 instead of 3.

--- a/src/main/kotlin/dev/jackdawdale/raft/MembershipChange.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/MembershipChange.kt
@@ -48,6 +48,7 @@
     // An identity that still answers belongs to a second process on the same host.
     val heardMs = state.peers[old.replicaId]?.lastHeardMs ?: return
     if (nowMs - heardMs < state.settings.electionTimeoutMs) return
+    if (!keepsCopies(old.replicaId)) return
     changeMembers(MemberChange.Remove(old.replicaId))
 }
 
@@ -61,10 +62,21 @@
         .filter { it.replicaId != state.self }
         .mapNotNull { member -> state.peers[member.replicaId]?.let { member to it.lastHeardMs } }
         .filter { (_, heardMs) -> nowMs - heardMs > state.settings.replaceAfterMs }
+        .filter { (member, _) -> keepsCopies(member.replicaId) }
         .minByOrNull { (_, heardMs) -> heardMs } ?: return
     changeMembers(MemberChange.Remove(silent.first.replicaId))
 }
 
+/**
+ * Whether a quorum without [id] is as large as one of all wanted members. A smaller one would
+ * commit on fewer disks than may be lost, so the next removal waits for a learner's promotion.
+ */
+private fun StepScope.keepsCopies(id: ReplicaId): Boolean {
+    val target = state.settings.targetMembers ?: return true
+    val voters = state.membership.voters.count { it.replicaId != id }
+    return voters / 2 >= target / 2
+}
+
 internal fun StepScope.promoteLearner() {
     if (!state.ready || state.log.membershipIndex > state.commitIndex) return
     val learner = state.membership.members.find { !it.voter && isCaughtUp(it.replicaId) } ?: return
--- a/src/test/kotlin/dev/jackdawdale/replica/LostDisksTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/LostDisksTest.kt
@@ -52,6 +52,25 @@
             }
         }
 
+        test("two lost members that come back do not let a commit rest on two disks") {
+            val cell = TestCell(seed = 5, HOSTS) {
+                it.copy(raft = it.raft.copy(targetMembers = HOSTS))
+            }
+            cell.startAll()
+            cell.runUntil(LIMIT_MS, cell::isWhole) shouldBe true
+            val hit = cell.nodes.values.filter { it != cell.leader }.take(LOSSES)
+            hit.forEach { it.loseDisk() }
+            hit.forEach { it.start() }
+            var fewest = HOSTS
+            cell.runUntil(LIMIT_MS) {
+                val members = cell.leader?.replica?.status(cell.nowMs)?.members.orEmpty()
+                if (members.isNotEmpty()) fewest = minOf(fewest, members.count { it.voter })
+                cell.isWhole()
+            } shouldBe true
+            val quorum = fewest / 2 + 1
+            quorum shouldBe LOSSES + 1
+        }
+
         test("what is committed while two lost members come back outlives a loss of power") {
             val cell = TestCell(seed = 3, HOSTS) {
                 it.copy(raft = it.raft.copy(targetMembers = HOSTS))
