Lengthen the election timeout while terms follow each other

Their control threads were late by 100 to 434 ms, as passes over 320 to 860 waiting steps took 100 to 360 ms; the election timeout is 360 ms.

Cause: a timeout that suits calm hosts is too short for hosts that have just started and face a backlog, and each new leader begins with more work.

Fix: each further term within 5 s adds one timeout, up to three times. A candidate that gets no votes tries again as early as before.

The long passes are not touched.

Test: ElectionTimeoutTest, "leaders that are too busy to be heard in time do not follow each other for ever"; with a factor of 1, the former behaviour, it fails (1578 ms instead of at least 3000 ms).

--- a/src/main/kotlin/dev/jackdawdale/raft/Election.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/Election.kt
@@ -11,7 +11,7 @@
 internal fun StepScope.becomeFollower(term: Long, leader: ReplicaId?) {
     if (state.role == Role.LEADER) loseLeadership()
     if (term > state.term) {
-        state = state.copy(term = term, votedFor = null)
+        state = state.inTerm(term, nowMs)
         emit(RaftEffect.WriteVote(term, null))
     }
     state = state.copy(
@@ -37,7 +37,7 @@
     val leader = state.leader?.let { state.membership.member(it) }
     if (state.role != Role.FOLLOWER || leader?.hostId != hostId) return
     val patienceMs = state.settings.suspectAfterMs
-    val heardMs = nowMs + patienceMs - state.settings.electionTimeoutMs
+    val heardMs = nowMs + patienceMs - state.electionTimeoutMs(nowMs)
     state = state.copy(leaderHeardMs = minOf(state.leaderHeardMs, heardMs))
         .withElectionDue(nowMs, patienceMs)
 }
@@ -63,13 +63,12 @@
 
 /** The replica's own vote counts once it is synced. */
 private fun StepScope.startElection(transfer: Boolean) {
-    state = state.copy(
+    state = state.inTerm(state.term + 1, nowMs).copy(
         role = Role.CANDIDATE,
-        term = state.term + 1,
         votedFor = state.self,
         leader = null,
         votes = persistentSetOf()
-    ).withElectionDue(nowMs)
+    ).withElectionDue(nowMs, state.settings.electionTimeoutMs)
     emit(RaftEffect.WriteVote(state.term, state.self))
     askVoters { to ->
         Vote(
@@ -87,7 +86,7 @@
 private fun StepScope.hearsLeader(): Boolean = when {
     state.role == Role.LEADER -> true
     state.leader == null -> false
-    else -> nowMs - state.leaderHeardMs < state.settings.electionTimeoutMs
+    else -> nowMs - state.leaderHeardMs < state.electionTimeoutMs(nowMs)
 }
 
 private fun StepScope.isUpToDate(lastIndex: Long, lastTerm: Long): Boolean =
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
@@ -6,6 +6,7 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentList
 
 /**
  * Timing and limits of the consensus core.
@@ -15,6 +16,8 @@
  * @property replaceAfterMs silence after which a member counts as replaced
  * @property startPatienceMs how long a replica that has just started waits for a leader; asking
  *   for votes disturbs no leader that a quorum hears
+ * @property calmAfterMs each further term that begins within this time lengthens the election
+ *   timeout by once its value, up to [maxTimeoutFactor] times
  * @property suspectAfterMs how long a leader whose connection has ended may stay silent
  * @property maxAppendBytes size of one message to a peer that is behind; large ones hold up
  *   heartbeats behind them
@@ -26,6 +29,8 @@
     val heartbeatMs: Long = 150,
     val startPatienceMs: Long = electionTimeoutMs,
     val suspectAfterMs: Long = electionTimeoutMs / 3,
+    val calmAfterMs: Long = 5_000,
+    val maxTimeoutFactor: Int = 3,
     val maxAppendBytes: Int = 64 * 1024,
     val maxInFlightBytes: Int = 512 * 1024,
     val maxInFlightAppends: Int = 64,
@@ -92,6 +97,7 @@
  *
  * @property durableIndex last index known to be synced on this replica
  * @property ready the leader has committed an entry of its own term
+ * @property termsBeganMs when this replica learned of each of the latest terms
  * @property random state of the generator of election timeouts
  */
 internal data class RaftState(
@@ -116,6 +122,7 @@
     val transferTo: ReplicaId? = null,
     val transferDueMs: Long = 0,
     val incoming: IncomingSnapshot? = null,
+    val termsBeganMs: PersistentList<Long> = persistentListOf(),
     val random: Long
 )
 
@@ -127,6 +134,23 @@
 internal val RaftState.isBlank: Boolean
     get() = term == 0L && lastIndex == 0L && log.membership.members.isEmpty()
 
+/**
+ * How long a leader may stay silent. Longer while terms follow each other quickly: then the
+ * processes are too busy to keep the short time, and each new leader makes them busier.
+ */
+internal fun RaftState.electionTimeoutMs(nowMs: Long): Long {
+    val recent = termsBeganMs.count { nowMs - it < settings.calmAfterMs }
+    return settings.electionTimeoutMs * recent.coerceIn(1, settings.maxTimeoutFactor)
+}
+
+/** The state in a [newTerm], without a vote. */
+internal fun RaftState.inTerm(newTerm: Long, nowMs: Long): RaftState = copy(
+    term = newTerm,
+    votedFor = null,
+    termsBeganMs = (termsBeganMs.takeLast(settings.maxTimeoutFactor - 1) + nowMs)
+        .toPersistentList()
+)
+
 /** The latest time at or after which a quorum of voters was heard, this replica included. */
 internal fun RaftState.quorumHeardMs(nowMs: Long): Long = quorumValue { id ->
     if (id == self) nowMs else peers[id]?.lastHeardMs ?: NEVER_MS
@@ -162,7 +186,7 @@
  */
 internal fun RaftState.withElectionDue(
     nowMs: Long,
-    patienceMs: Long = settings.electionTimeoutMs
+    patienceMs: Long = electionTimeoutMs(nowMs)
 ): RaftState {
     val next = random + GOLDEN_GAMMA
     var mixed = (next xor (next ushr 30)) * -0x40a7b892e31b1a47L
--- a/src/main/kotlin/dev/jackdawdale/raft/Replication.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/Replication.kt
@@ -6,7 +6,7 @@
 
 internal fun StepScope.leaderTick() {
     val settings = state.settings
-    if (nowMs - state.quorumHeardMs(nowMs) > settings.electionTimeoutMs) {
+    if (nowMs - state.quorumHeardMs(nowMs) > state.electionTimeoutMs(nowMs)) {
         return becomeFollower(state.term, leader = null)
     }
     if (state.transferTo != null && nowMs >= state.transferDueMs) {
--- a/src/test/kotlin/dev/jackdawdale/raft/ElectionTimeoutTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/raft/ElectionTimeoutTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.datatest.withData
 import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 
 private const val NOW_MS = 10_000L
@@ -19,8 +20,29 @@
 
 private data class TimeoutCase(val voters: Int, val term: Long)
 
+private fun follower(): RaftState {
+    val log = raftLog(SnapshotMeta(0, 0, voters(3)), emptyList())
+    return raftState(RaftSettings(), ReplicaId("r1"), 1, null, log, seed = 5, NOW_MS)
+}
+
+private fun RaftState.hear(term: Long, nowMs: Long): RaftState {
+    val message = Append(ReplicaId("r2"), self, term, 0, 0, emptyList(), 0, 0)
+    return step(this, RaftInput.Receive(HostId("h2"), message), nowMs).state
+}
+
 class ElectionTimeoutTest :
     FunSpec({
+        test("leaders that are too busy to be heard in time do not follow each other for ever") {
+            val settings = RaftSettings()
+            var state = follower()
+            (2L..4L).forEach { state = state.hear(it, NOW_MS + it * 100) }
+            val busyMs = NOW_MS + 400
+            state.electionDueMs - busyMs shouldBeGreaterThanOrEqual 3 * settings.electionTimeoutMs
+            val calmMs = busyMs + settings.calmAfterMs
+            state = state.hear(4, calmMs)
+            state.electionDueMs - calmMs shouldBeLessThan 2 * settings.electionTimeoutMs
+        }
+
         context("voters that lose the same leader do not ask for votes at the same time") {
             withData(
                 TimeoutCase(3, 1),
