Let a leader whose clock is behind the log give orders

Cause: the control loop gives such a leader a later time of passes, so that time never goes back in the log. The push compared this time with the host's own clock: the quorum seemed to have been heard too long ago, so no worker was ever asked for its lists and no order was given; orders would have carried a time that had passed already.

The leader now measures the age of the quorum's word on one clock, and adds what passes are ahead of it wherever it needs a time between passes. The test failed before: no worker was asked.

--- a/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
@@ -11,7 +11,8 @@
  * What the leader needs of its surroundings. All but [submit] are called on the control thread.
  *
  * @property submit decides an action in the next pass while this replica leads; any thread
- * @property quorumHeardMs when a quorum was heard last
+ * @property quorumHeardMs when a quorum was heard last, on [clock]
+ * @property clock this host's clock; it may be behind the time of passes
  * @property callingHosts entry hosts that can ask the adviser
  */
 internal class LeaderSurroundings(
@@ -23,21 +24,32 @@
     val askAdvice: (AdviceCall) -> Boolean
 )
 
-/** What the parts of a leader share. Used on the control thread only. */
+/**
+ * What the parts of a leader share. Used on the control thread only.
+ *
+ * @param nowMs time of passes when the leader begins
+ */
 internal class LeaderContext(
     val term: Long,
     val settings: PushSettings,
     val around: LeaderSurroundings,
     val decisions: DecisionLog,
+    nowMs: Long,
     val emit: (Pass, StagedEvent) -> Unit
 ) {
+    /** A host whose clock is behind the log's last batch leads with a later time. */
+    private val aheadMs = maxOf(0, nowMs - around.clock())
+
     /** The workers that this leader knows, by id. */
     val links = HashMap<String, WorkerLink>()
     val desk = AdviceDesk(around.askAdvice)
     val timing = ReportTiming(settings)
 
+    /** The time of passes, also between them. */
+    fun nowMs(): Long = around.clock() + aheadMs
+
     /** Only a leader that heard a quorum lately may give orders: another one may have begun. */
-    fun mayOrder(nowMs: Long): Boolean = nowMs - around.quorumHeardMs() < settings.quorumFreshMs
+    fun mayOrder(): Boolean = around.clock() - around.quorumHeardMs() < settings.quorumFreshMs
 
     fun wantStop(taskId: StageTaskId, placement: RunPlacement) {
         val link = links[placement.workerId] ?: return
--- a/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
@@ -22,9 +22,9 @@
     /** Sends the order for a run whose placement is durable. */
     fun sendStart(link: WorkerLink, taskId: StageTaskId, number: Int, order: StartDraft) {
         val run = link.runOf(taskId, number) ?: return
-        val nowMs = context.around.clock()
+        val nowMs = context.nowMs()
         val workerMs = link.workerTimeMs(nowMs)
-        if (workerMs == null || run.stopWanted || !context.mayOrder(nowMs)) {
+        if (workerMs == null || run.stopWanted || !context.mayOrder()) {
             if (run.start == StartState.Unsent) settleUnsent(taskId, number)
             return
         }
@@ -130,7 +130,7 @@
             order.tries,
             reason
         )
-        context.timing.callLost(context.around.clock())
+        context.timing.callLost(context.nowMs())
         val run = link.runOf(start.taskId, start.run) ?: return
         if (run.start is StartState.Confirmed) return
         if (order.tries >= MAX_START_TRIES) return context.wantStop(start.taskId, run.placement)
@@ -139,7 +139,7 @@
 
     /** Repeats the stops that are wanted until the worker lists the end. */
     fun sendStops(nowMs: Long) {
-        if (!context.mayOrder(nowMs)) return
+        if (!context.mayOrder()) return
         for (link in context.links.values) {
             val due = link.held.values.filter {
                 it.stopWanted &&
--- a/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
@@ -23,7 +23,7 @@
 
     /** Asks the workers whose answer is due for their lists. */
     fun askReports(nowMs: Long) {
-        if (!context.mayOrder(nowMs)) return
+        if (!context.mayOrder()) return
         context.links.values.filter {
             !it.reportInFlight && nowMs >= it.reportDueMs && it.worker.address.isNotEmpty()
         }.forEach { askReport(it, nowMs) }
@@ -95,7 +95,7 @@
             pass.whenDurable {
                 link.acknowledgedEnd = settled.lastEnd
                 link.reportDueMs = 0
-                if (!link.reportInFlight) askReport(link, context.around.clock())
+                if (!link.reportInFlight) askReport(link, context.nowMs())
             }
         } else {
             link.reportDueMs = 0
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -31,7 +31,7 @@
     decisions: DecisionLog,
     nowMs: Long
 ) {
-    private val context = LeaderContext(term, settings, around, decisions, ::emit)
+    private val context = LeaderContext(term, settings, around, decisions, nowMs, ::emit)
     private val links get() = context.links
     private val members = WorkerMembers(context)
     private val placement = StepPlacement(context)
--- a/src/test/kotlin/dev/jackdawdale/push/LeaderPlay.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/LeaderPlay.kt
@@ -41,12 +41,14 @@
  * A leader of [term] over what [events] of earlier leaders made; a test drives its passes.
  *
  * @param passMs time from one pass to the next
+ * @param clockBehindMs how far this host's clock is behind the one of the log
  */
 internal class LeaderPlay(
     term: Long,
     events: List<StagedEvent>,
     calls: WorkerCalls,
-    private val passMs: Long = 0
+    private val passMs: Long = 0,
+    private val clockBehindMs: Long = 0
 ) {
     var nowMs = START_MS
         private set
@@ -59,8 +61,8 @@
         LeaderSurroundings(
             calls,
             submit = { actions += it },
-            quorumHeardMs = { nowMs },
-            clock = { nowMs },
+            quorumHeardMs = { nowMs - clockBehindMs },
+            clock = { nowMs - clockBehindMs },
             callingHosts = { emptySet() },
             askAdvice = { false }
         ),
