Drop the results of calls of an earlier term

A process that loses leadership and leads again before its calls to workers have ended took their results with the state of the earlier term: the run was settled in the log while the present leader went on counting its room, for as long as it led, and gave an event for the same end at each report of the worker. On a worker that the task fills, callers would see their job never finish. An order without an answer was also repeated under the old term.

Results now go through the leader that made the call, which drops them once it has retired; the next leader learns the same from the worker's lists.

--- a/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
@@ -37,6 +37,8 @@
     nowMs: Long,
     val emit: (Pass, StagedEvent) -> Unit
 ) {
+    private var retired = false
+
     /** A host whose clock is behind the log's last batch leads with a later time. */
     private val aheadMs = maxOf(0, nowMs - around.clock())
 
@@ -45,6 +47,14 @@
     val desk = AdviceDesk(around.askAdvice)
     val timing = ReportTiming(settings)
 
+    /** Decides [action] in the next pass; it is dropped when this leader has retired by then. */
+    fun submit(action: (Pass) -> Unit) = around.submit { pass -> if (!retired) action(pass) }
+
+    /** The process may lead again while calls of this leader are under way. */
+    fun retire() {
+        retired = true
+    }
+
     /** The time of passes, also between them. */
     fun nowMs(): Long = around.clock() + aheadMs
 
--- a/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
@@ -41,12 +41,12 @@
             order.ticket
         )
         context.around.calls.start(link.worker, start) { result ->
-            context.around.submit { pass -> startAnswered(pass, link, start, order, result) }
+            context.submit { pass -> startAnswered(pass, link, start, order, result) }
         }
     }
 
     private fun settleUnsent(taskId: StageTaskId, number: Int) {
-        context.around.submit { pass ->
+        context.submit { pass ->
             context.emit(pass, StagedEvent.RunEnded(taskId, number, RunResult.NEVER_RAN))
         }
     }
@@ -151,7 +151,7 @@
                 link.update(run.copy(stopSentMs = nowMs))
                 val number = run.placement.run
                 context.around.calls.stop(link.worker, run.taskId, number, context.term) { result ->
-                    context.around.submit { pass ->
+                    context.submit { pass ->
                         stopAnswered(pass, link, run.taskId, number, result)
                     }
                 }
--- a/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
@@ -42,7 +42,7 @@
         val question = ReportQuestion(context.term, leaseMs, link.acknowledgedEnd, waitMs)
         val worker = link.worker
         context.around.calls.report(worker, question) { result ->
-            context.around.submit { pass -> reported(pass, link, worker, result, nowMs) }
+            context.submit { pass -> reported(pass, link, worker, result, nowMs) }
         }
     }
 
--- a/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
@@ -37,7 +37,7 @@
     /** The functions that the control loop calls. */
     val extension = ControlExtension(
         becameLeader = ::becameLeader,
-        lostLeadership = { leader = null },
+        lostLeadership = ::lostLeadership,
         decide = { pass -> leader?.decide(pass) },
         handle = ::handle,
         answer = { state, query -> answer(state.staged, query) },
@@ -48,6 +48,11 @@
         leader = StagedLeader(term, state.staged, settings, around, decisions, nowMs)
     }
 
+    private fun lostLeadership() {
+        leader?.retire()
+        leader = null
+    }
+
     private fun adviceAnswered(pass: Pass, hostId: HostId, callId: Long, result: AdviceResult) {
         leader?.adviceAnswered(pass, hostId, callId, result)
     }
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -136,6 +136,9 @@
         }
     }
 
+    /** Another leader decides from now on; results of this one's calls change nothing any more. */
+    fun retire() = context.retire()
+
     /** Decides what is due in this pass. */
     fun decide(pass: Pass) {
         reports.lapse(pass)
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/push/StagedControlPlay.kt
@@ -0,0 +1,75 @@
+package dev.jackdawdale.push
+
+import dev.jackdawdale.control.ControlSettings
+import dev.jackdawdale.control.Pass
+import dev.jackdawdale.control.softState
+import dev.jackdawdale.model.CellState
+import dev.jackdawdale.model.Event
+import dev.jackdawdale.model.EventBatch
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.model.apply
+import dev.jackdawdale.staged.StagedEvent
+
+private const val PASS_MS = 20L
+
+/**
+ * The staged part of a process that leads, loses leadership and leads again over [events]; its
+ * worker lists nothing. A test drives the passes and answers the start orders.
+ */
+internal class StagedControlPlay(
+    events: List<StagedEvent>,
+    callingHosts: Set<HostId> = emptySet()
+) {
+    val starts = ArrayList<StartOrder>()
+    val startResults = ArrayList<(StartResult) -> Unit>()
+    val adviceCalls = ArrayList<AdviceCall>()
+    private var nowMs = 100_000L
+    private var state = CellState().apply(EventBatch(nowMs, events.map { Event.Staged(it) })).state
+    private val actions = ArrayDeque<(Pass) -> Unit>()
+    private val control = StagedControl(
+        PushSettings(),
+        LeaderSurroundings(
+            WorkerCalls(
+                start = { _, order, onResult ->
+                    starts += order
+                    startResults += onResult
+                },
+                stop = { _, _, _, _, _ -> },
+                report = { _, _, onResult ->
+                    val report = RunReport(1, nowMs, emptyList(), emptyList())
+                    onResult(ReportResult.Reported(report))
+                }
+            ),
+            submit = { actions += it },
+            quorumHeardMs = { nowMs },
+            clock = { nowMs },
+            callingHosts = { callingHosts },
+            askAdvice = {
+                adviceCalls += it
+                true
+            }
+        )
+    )
+
+    fun leads(term: Long) = control.extension.becameLeader(term, state, nowMs)
+
+    /** The control loop drops what it has not decided. */
+    fun losesLeadership() {
+        actions.clear()
+        control.extension.lostLeadership()
+    }
+
+    /** Decides [action] in the next pass. */
+    fun submit(action: StagedControl.(Pass) -> Unit) {
+        actions += { pass -> control.action(pass) }
+    }
+
+    fun passes(count: Int) = repeat(count) {
+        nowMs += PASS_MS
+        val pass = Pass(state, softState(state, nowMs, ControlSettings()), nowMs)
+        repeat(actions.size) { actions.removeFirst()(pass) }
+        control.extension.decide(pass)
+        state = pass.state
+        pass.effects.forEach { it() }
+    }
+}
