Use a worker again that reports itself ready after a goodbye

A goodbye names no boot. One of an earlier process that arrives after the next process has reported itself under the same id took that process out for as long as the leader led: callers would see less room, and one report without an answer would have settled its runs while they went on.

A newer report that says ready now undoes the goodbye; a worker that leaves reports draining before. The test failed before: the ready worker got no task.

--- a/src/main/kotlin/dev/jackdawdale/push/WorkerMembers.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerMembers.kt
@@ -29,6 +29,8 @@
             else -> {
                 link.heardMs = nowMs
                 link.sequence = report.sequence
+                // A goodbye names no boot, so it may be a late one of an earlier process.
+                if (!worker.draining) link.leaving = false
                 if (known != worker) {
                     link.worker = worker
                     context.emit(pass, StagedEvent.WorkerReported(worker))
