--- a/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
@@ -49,6 +49,7 @@
     }
 
     private fun lostLeadership() {
+        leader?.retire()
         leader = null
         around.meters.waiting(emptyMap())
     }
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -32,7 +32,7 @@
     decisions: DecisionLog,
     nowMs: Long
 ) {
-    private val context = LeaderContext(term, settings, around, decisions, ::emit)
+    private val context = LeaderContext(term, settings, around, decisions, nowMs, ::emit)
     private val links get() = context.links
     private val members = WorkerMembers(context)
     private val placement = StepPlacement(context)
@@ -138,6 +138,9 @@
         }
     }
 
+    /** Another leader decides from now on; results of this one's calls change nothing any more. */
+    fun retire() = context.retire()
+
     /** Decides what is due in this pass. */
     fun decide(pass: Pass) {
         val startNanos = System.nanoTime()
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -48,7 +48,7 @@
             notBeforeMs.remove(jobId)
         }
         if (steps.isEmpty()) ready.remove(jobId) else ready[jobId] = steps
-        waits.waiting(jobId, steps.map { it.id }, context.around.clock())
+        waits.waiting(jobId, steps.map { it.id }, context.nowMs())
     }
 
     /** Places what waits, the most urgent first, and asks for advice where it is missing. */
--- a/src/test/kotlin/dev/jackdawdale/push/LeaderPlay.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/LeaderPlay.kt
@@ -44,6 +44,7 @@
  *
  * @param passMs time from one pass to the next
  * @param commitMs time until what a pass decided is durable
+ * @param clockBehindMs how far this host's clock is behind the one of the log
  */
 internal class LeaderPlay(
     term: Long,
@@ -52,7 +53,8 @@
     private val passMs: Long = 0,
     private val commitMs: Long = 0,
     callingHosts: Set<HostId> = emptySet(),
-    askAdvice: (AdviceCall) -> Boolean = { false }
+    askAdvice: (AdviceCall) -> Boolean = { false },
+    private val clockBehindMs: Long = 0
 ) {
     var nowMs = START_MS
         private set
@@ -66,8 +68,8 @@
         LeaderSurroundings(
             calls,
             submit = { actions += it },
-            quorumHeardMs = { nowMs },
-            clock = { nowMs },
+            quorumHeardMs = { nowMs - clockBehindMs },
+            clock = { nowMs - clockBehindMs },
             callingHosts = { callingHosts },
             askAdvice = askAdvice
         ),
