Take advice for the call that it answers, and ask another host after a failure

Cause: call ids began at 1 with each leader, and an answer was matched by its id alone. A host whose call had failed was the first free one again.

Fix: ids begin with the term, the answer must come from the host that was asked, and hosts whose calls failed get calls after the others.

AdviceOfOtherLeaderTest and AdviceHostTest failed before.

--- a/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
@@ -47,19 +47,24 @@
 private const val PRIOR_ALLOWED = 5
 
 /**
- * Asks the adviser which workers may run a step, as one server with several doors: it handles one
- * call at a time for each calling host, so calls are spread over the hosts, the most urgent first,
- * and long calls leave some of the hosts to the short ones.
+ * Asks the adviser which workers may run a step. The adviser handles one call at a time for each
+ * calling host, so calls are spread over the hosts, the most urgent first, and long calls leave
+ * some of the hosts to the short ones.
  *
- * Answers a load in which the widest steps keep one door busy for longer than a short job may take.
- * Used on the control thread only.
+ * Answers a load in which a call for the widest steps takes longer than a short job may take. Used
+ * on the control thread only.
+ *
+ * @param firstCallId differs for each leader, as an answer may come after the next one has begun
  */
-internal class AdviceDesk(private val send: (AdviceCall) -> Boolean) {
+internal class AdviceDesk(firstCallId: Long = 1, private val send: (AdviceCall) -> Boolean) {
     private val steps = HashMap<StepId, StepAdvice>()
     private val calls = HashMap<Long, AdviceCall>()
     private val busy = HashMap<HostId, AdviceCall>()
     private val counts = HashMap<AdviceTerms, AllowedCount>()
-    private var nextCallId = 1L
+
+    /** When a host's call failed last; such hosts get calls after the others. */
+    private val failedMs = HashMap<HostId, Long>()
+    private var nextCallId = firstCallId
 
     val callsUnderWay: Int get() = calls.size
 
@@ -128,7 +133,9 @@
      */
     fun dispatch(hosts: Collection<HostId>, nowMs: Long) {
         expire(hosts, nowMs)
-        val free = hosts.filter { it !in busy }.toMutableList()
+        val free = hosts.filter { it !in busy }
+            .sortedBy { failedMs[it] ?: Long.MIN_VALUE }
+            .toMutableList()
         if (free.isEmpty()) return
         val due = steps.entries.filter { (_, step) ->
             step.wanted.isNotEmpty() && step.callsUnderWay == 0
@@ -173,9 +180,11 @@
 
     /** Takes an answer and returns its call, or null for a call that was given up. */
     fun answered(hostId: HostId, callId: Long, result: AdviceResult, nowMs: Long): AdviceCall? {
-        val call = calls.remove(callId) ?: return null
+        val call = calls[callId]?.takeIf { it.hostId == hostId } ?: return null
+        calls.remove(callId)
         callsDone++
         if (busy[hostId] === call) busy.remove(hostId)
+        if (result is AdviceResult.Given) failedMs.remove(hostId) else failedMs[hostId] = nowMs
         val step = steps[call.stepId] ?: return call
         step.callsUnderWay--
         if (result !is AdviceResult.Given) return call
@@ -225,6 +234,7 @@
             calls.remove(it.callId)
             callsDone++
             if (busy[it.hostId] === it) busy.remove(it.hostId)
+            failedMs[it.hostId] = nowMs
             steps[it.stepId]?.let { step -> step.callsUnderWay-- }
         }
     }
--- a/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
@@ -49,7 +49,7 @@
 
     /** The workers that this leader knows, by id. */
     val links = HashMap<String, WorkerLink>()
-    val desk = AdviceDesk(around.askAdvice)
+    val desk = AdviceDesk((term shl CALL_ID_BITS) + 1, around.askAdvice)
     val timing = ReportTiming(settings)
 
     /** Decides [action] in the next pass; it is dropped when this leader has retired by then. */
@@ -71,4 +71,9 @@
         val run = link.runOf(taskId, placement.run) ?: return
         if (!run.stopWanted) link.update(run.copy(stopWanted = true))
     }
+
+    private companion object {
+        /** A leader makes fewer calls than this many bits count. */
+        const val CALL_ID_BITS = 32
+    }
 }
