Ignore late refusals while the common prefix of two logs is looked for

Fix: only the refusal of the present question counts; the next heartbeat asks again if it was lost.

Test: CatchUpTest, "late refusals of one question bring the same entries again and again".

--- a/src/main/kotlin/dev/jackdawdale/raft/Replication.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/Replication.kt
@@ -126,7 +126,10 @@
 }
 
 private fun StepScope.onMismatch(message: AppendReply) = updatePeer(message.from) { peer ->
-    val late = message.previousIndex <= peer.matchIndex || peer.mode == Mode.SNAPSHOT
+    // While the common prefix is looked for, only the refusal of the present question counts.
+    val late = message.previousIndex <= peer.matchIndex ||
+        peer.mode == Mode.SNAPSHOT ||
+        (peer.mode == Mode.PROBE && message.previousIndex != peer.nextIndex - 1)
     if (late) {
         peer
     } else {
--- a/src/test/kotlin/dev/jackdawdale/raft/CatchUpTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/raft/CatchUpTest.kt
@@ -32,12 +32,16 @@
         nowMs = nowMs
     )
 
+    /** The refusal that made the leader look for the common prefix. */
+    val firstRefusal: AppendReply
+
     /** Appends to `c` in the order of their sending. */
     val sent = mutableListOf<Append>()
 
     init {
         while (state.role != Role.LEADER) tick()
-        receive(refusal(sent.last()))
+        firstRefusal = refusal(sent.last())
+        receive(firstRefusal)
         sent.clear()
     }
 
@@ -103,6 +107,13 @@
             cell.sent.payloadBytes() shouldBeLessThanOrEqual 64 * KIB
         }
 
+        test("late refusals of one question bring the same entries again and again") {
+            val cell = LongLog()
+            cell.runFor(500)
+            repeat(20) { cell.receive(cell.firstRefusal) }
+            cell.sent.payloadBytes() shouldBeLessThanOrEqual 64 * KIB
+        }
+
         test("entries for a member that is behind do not pile up in front of its heartbeats") {
             val cell = LongLog()
             cell.runFor(500)
