--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -120,8 +120,11 @@
         }
         val missing = tasks.size - chosen.size
         val isUrgent = step.latestStartMs - nowMs < RESERVE_BEFORE_MS
-        if (chosen.isNotEmpty() || isUrgent) reserved.add(intended.values, step.spec.counted)
-        if (terms != null) wantAdvice(step, terms, usable, reserved, intended, missing, nowMs)
+        val keepsRoom = chosen.isNotEmpty() || isUrgent
+        if (keepsRoom) reserved.add(intended.values, step.spec.counted)
+        if (terms == null) return
+        wantAdvice(step, terms, usable, reserved, intended, missing, nowMs)
+        if (keepsRoom && intended.isNotEmpty()) plans[step.id] = intended.values.toList()
     }
 
     /** Keeps what the log tells about a step that goes on waiting. */
@@ -196,7 +199,6 @@
             .map { context.links.getValue(it).candidate }
         if (asked.isEmpty()) return
         context.desk.want(step.id, terms, asked, step.rank(nowMs), nowMs)
-        plans[step.id] = intended.values.toList()
     }
 
     private fun hasTicket(step: ReadyStep, workerId: String, nowMs: Long): Boolean {
