--- a/src/main/kotlin/dev/jackdawdale/push/ChooseWorkers.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/ChooseWorkers.kt
@@ -126,17 +126,17 @@
                 { it.third }
             )
         )
-    var slots = 0
-    return byRoom.filterIndexed { number, (_, ofWorker, _) ->
-        val isNeeded = slots < needed || number < MIN_ASKED
-        slots += ofWorker.coerceIn(1, tasks)
-        isNeeded
+    val slotsBefore = byRoom.runningFold(0) { sum, (_, slots, _) -> sum + slots.coerceIn(1, tasks) }
+    return byRoom.filterIndexed { number, _ ->
+        slotsBefore[number] < needed || number < MIN_ASKED
     }.map { it.first }
 }
 
 /** Room that is asked about beyond the expected need: shares vary, and others take some of it. */
 private const val ASK_MARGIN = 1.5
 
-/** Of fewer workers, a policy that allows 0.3 of them may well allow less than a few. */
+/** Of a few workers a policy may happen to allow none, and the next call costs more than these. */
 private const val MIN_ASKED = 16
+
+/** Spreads the hashes of similar ids over all values. */
 private const val HASH_FACTOR = -0x61c88647
