Choose workers only for steps that can place tasks or call in this pass

Cause: after a change of leader hundreds of steps wait for a first answer of the adviser. A pass sorted all workers for each of them, although a pass can begin at most as many calls as hosts are free; the other choices were thrown away. Passes over 320 to 860 steps took 100 to 360 ms already before, longer than a follower waits for its leader.

Fix: a step without a valid ticket is passed over once no further call of its kind can begin; steps come in the order of their rank. The log tells it apart (reason QUEUED).

Test: AdviceDeskTest, "choices are made for more steps than can call in a pass"; without the limit all ten are prepared.

--- a/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
@@ -64,6 +64,8 @@
 
     /** When a host's call failed last; such hosts get calls after the others. */
     private val failedMs = HashMap<HostId, Long>()
+    private var openShort = 0
+    private var openLong = 0
     private var nextCallId = firstCallId
 
     val callsUnderWay: Int get() = calls.size
@@ -84,7 +86,20 @@
             ?.takeIf { it.boot == boot && it.validUntilMs > untilMs }
 
     /** Forgets what earlier passes wanted; calls under way go on. */
-    fun beginPass() = steps.values.forEach { it.wanted = emptyList() }
+    fun beginPass(hosts: Collection<HostId>, nowMs: Long) {
+        steps.values.forEach { it.wanted = emptyList() }
+        expire(hosts, nowMs)
+        openShort = hosts.count { it !in busy }
+        openLong = minOf(openShort, (hosts.size + 1) / 2 - busy.values.count { it.isLong })
+    }
+
+    /** Whether one more call of this kind can begin in this pass, wanted in the order of rank. */
+    fun hasOpenCall(terms: AdviceTerms): Boolean =
+        if (isLongCall(terms)) openLong > 0 else openShort > 0
+
+    /** True when some worker has a ticket for the step that still serves at [untilMs]. */
+    fun holdsTickets(stepId: StepId, untilMs: Long): Boolean =
+        steps[stepId]?.tickets?.values?.any { it.validUntilMs > untilMs } ?: false
 
     fun wasAsked(stepId: StepId, candidate: Candidate): Boolean =
         steps[stepId]?.asked?.contains(candidate) ?: false
@@ -125,6 +140,8 @@
         val callMs = costMs(terms, minOf(candidates.size, MAX_WORKERS)).toLong()
         step.wanted = candidates.filter { it !in step.asked || it in step.allowed }
             .filter { ticket(stepId, it.workerId, it.boot, nowMs + callMs + WAY_MS) == null }
+        if (step.wanted.isEmpty()) return
+        if (step.isLong) openLong-- else openShort--
     }
 
     /**
@@ -260,16 +277,15 @@
 private fun StepAdvice.goesBefore(other: StepAdvice): Boolean =
     wanted.isNotEmpty() && callsUnderWay == 0 && rank < other.rank
 
-private val StepAdvice.isLong: Boolean get() = costMs(terms, minOf(wanted.size, MAX_WORKERS)) >
-    LONG_CALL_MS
+private val StepAdvice.isLong: Boolean get() = isLongCall(terms)
 
-private val AdviceCall.isLong: Boolean get() = costMs(terms, asked.size) > LONG_CALL_MS
+private val AdviceCall.isLong: Boolean get() = isLongCall(terms)
 
 /** A call that takes longer than this must leave hosts free for short calls. */
 private const val LONG_CALL_MS = 150.0
 
-/** Whether a call about one worker alone is long. */
-internal fun isLongCall(terms: AdviceTerms): Boolean = costMs(terms, 1) > LONG_CALL_MS
+/** Whether a call about a usual number of workers is long. */
+internal fun isLongCall(terms: AdviceTerms): Boolean = costMs(terms, ADVISED_WORKERS) > LONG_CALL_MS
 
 /** How long the adviser takes for one call. */
 internal fun costMs(terms: AdviceTerms, workers: Int): Double =
--- a/src/main/kotlin/dev/jackdawdale/push/ReadyStep.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/ReadyStep.kt
@@ -7,7 +7,7 @@
 import dev.jackdawdale.staged.isComplete
 
 /** Workers that the declared length of a chain counts one call for advice on, for each step. */
-private const val ADVISED_WORKERS = 30
+internal const val ADVISED_WORKERS = 30
 
 /** Estimate for tasks that declare none, in milliseconds. */
 private const val DEFAULT_ESTIMATE_MS = 1_000L
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -57,7 +57,8 @@
         val waiting = ready.values.flatten()
             .filter { (notBeforeMs[it.id.jobId] ?: 0) <= nowMs }
             .sortedBy { it.rank(nowMs) }
-        context.desk.beginPass()
+        val hosts = context.around.callingHosts()
+        context.desk.beginPass(hosts, nowMs)
         val reserved = Reserved()
         waiting.forEach { step ->
             plans[step.id]?.let { reserved.add(it, step.spec.counted) }
@@ -68,7 +69,7 @@
         for (step in waiting) {
             place(pass, step, usable[step.job.terms.service].orEmpty(), reserved)
         }
-        context.desk.dispatch(context.around.callingHosts(), nowMs)
+        context.desk.dispatch(hosts, nowMs)
         plans.keys.retainAll(context.desk::isUnderWay)
         if (waits.isDue(nowMs)) {
             ready.values.flatten().forEach { findPaused(it, nowMs) }
@@ -102,6 +103,17 @@
         plans.remove(step.id)?.let { reserved.remove(it, step.spec.counted) }
         val nowMs = pass.nowMs
         val terms = step.job.terms.advice
+        // Nothing can come of the step in this pass, and a backlog has hundreds of such steps.
+        if (terms != null &&
+            !context.desk.hasOpenCall(terms) &&
+            !context.desk.holdsTickets(step.id, nowMs + TICKET_MARGIN_MS)
+        ) {
+            if (waits.isDue(nowMs)) {
+                val facts = step.facts().copy(usable = usable.size, isQueued = true)
+                waits.found(step.id, facts) { 0 }
+            }
+            return
+        }
         val allowed = usable.filter { terms == null || context.desk.allows(step.id, it.candidate) }
         val rooms = allowed.map { it.room(step, reserved, nowMs) }
         val tasks = step.waiting.map { WaitingTask(it, step.step.tasks[it].failedOn) }
--- a/src/main/kotlin/dev/jackdawdale/push/WaitReason.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WaitReason.kt
@@ -11,6 +11,9 @@
     /** A further call about the step is under way; the room that it is about is reserved. */
     CALLING,
 
+    /** The step holds no valid ticket, and no host is free for a call about it. */
+    QUEUED,
+
     /** Chosen workers have no valid ticket. */
     NO_TICKETS,
 
@@ -26,6 +29,7 @@
  * @property allowed usable workers on which the step may run
  * @property chosen workers chosen for the tasks; none for a gang unless all of it has room
  * @property missing chosen workers without a valid ticket
+ * @property isQueued nothing was chosen, as no call about the step can begin
  * @property isCalling nothing was chosen, as a call about the step is under way
  * @property advice null when the step needs none
  */
@@ -39,6 +43,7 @@
     val chosen: Int = 0,
     val missing: Int = 0,
     val isCalling: Boolean = false,
+    val isQueued: Boolean = false,
     val advice: AdviceFacts? = null
 )
 
@@ -101,6 +106,7 @@
     pausedForMs > 0 -> WaitReason.PAUSED
     advice != null && advice.asked == 0 -> WaitReason.NO_ANSWER
     isCalling -> WaitReason.CALLING
+    isQueued -> WaitReason.QUEUED
     missing > 0 -> WaitReason.NO_TICKETS
     else -> WaitReason.NO_ROOM
 }
@@ -116,6 +122,7 @@
         WaitReason.PAUSED -> "paused for $pausedForMs ms after a refusal"
         WaitReason.NO_ANSWER -> "no answer of the adviser yet, $usable workers to ask about$calls"
         WaitReason.CALLING -> "a further call to the adviser$calls"
+        WaitReason.QUEUED -> "no valid ticket, and no host is free for a call$calls"
         WaitReason.NO_ROOM -> {
             val known = advice?.let { ", ${it.asked} asked" }.orEmpty()
             "no room: ${fitting()} tasks fit on $allowed allowed of $usable workers$known$calls"
--- a/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/AdviceDeskTest.kt
@@ -96,6 +96,20 @@
             sent.calls.map { it.hostId }.toSet() shouldHaveSize 2
         }
 
+        test("choices are made for more steps than can call in a pass") {
+            val sent = Sent()
+            sent.desk.beginPass(hosts, 0)
+            val prepared = (0 until 10).filter {
+                val isOpen = sent.desk.hasOpenCall(shortTerms)
+                if (isOpen) sent.desk.want(stepId("s$it"), shortTerms, workers, it.toDouble(), 0)
+                isOpen
+            }
+            prepared shouldBe listOf(0, 1, 2, 3)
+            sent.desk.dispatch(hosts, 0)
+            sent.desk.beginPass(hosts, 1)
+            sent.desk.hasOpenCall(shortTerms) shouldBe false
+        }
+
         test("a step does not wait for the answer of a host that is gone") {
             val sent = Sent()
             sent.desk.want(stepId("s"), longTerms, workers, 0.0, 0)
