Count durations once for both lines about the control thread

ControlLoad and PassCost kept the same count, sum and maximum. One class does now; the text of both lines stays as it is. Format, lint and the tests of push, telemetry, host and control passed (132).

--- a/src/main/kotlin/dev/jackdawdale/host/ControlLoad.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlLoad.kt
@@ -3,6 +3,7 @@
 import dev.jackdawdale.raft.Append
 import dev.jackdawdale.raft.InstallSnapshot
 import dev.jackdawdale.raft.RaftMessage
+import dev.jackdawdale.telemetry.Durations
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.host")
@@ -50,9 +51,9 @@
             "control thread in {} ms: {}; longest wait for it {} ms; passes: {}; " +
                 "{} appends sent with {} bytes, {} snapshot chunks",
             nowMs - beganMs,
-            actions,
+            actions.describe(),
             longestWaitNanos / NANOS_PER_MS,
-            passes,
+            passes.describe(),
             appends,
             appendBytes,
             chunks
@@ -67,17 +68,5 @@
     }
 }
 
-private class Durations {
-    private var count = 0
-    private var totalNanos = 0L
-    private var longestNanos = 0L
-
-    fun add(nanos: Long) {
-        count++
-        totalNanos += nanos
-        longestNanos = maxOf(longestNanos, nanos)
-    }
-
-    override fun toString(): String =
-        "$count took ${totalNanos / NANOS_PER_MS} ms, longest ${longestNanos / NANOS_PER_MS} ms"
-}
+private fun Durations.describe(): String =
+    "$count took ${totalNanos / NANOS_PER_MS} ms, longest ${longestNanos / NANOS_PER_MS} ms"
--- a/src/main/kotlin/dev/jackdawdale/telemetry/PassCost.kt
+++ b/src/main/kotlin/dev/jackdawdale/telemetry/PassCost.kt
@@ -6,24 +6,16 @@
 
 /** What the passes of the control loop cost since the last look. Used on one thread. */
 internal class PassCost {
-    private var passes = 0L
-    private var sumNanos = 0L
-    private var greatestNanos = 0L
+    private var passes = Durations()
 
-    fun add(nanos: Long) {
-        passes++
-        sumNanos += nanos
-        greatestNanos = maxOf(greatestNanos, nanos)
-    }
+    fun add(nanos: Long) = passes.add(nanos)
 
     /** Describes the passes since the last call, and begins to count anew. */
     fun take(): String {
-        val meanMs = if (passes == 0L) 0.0 else sumNanos / NANOS_PER_MS / passes
-        val text = "%d passes, %.2f ms in the mean, %.2f ms the longest"
-            .format(Locale.ROOT, passes, meanMs, greatestNanos / NANOS_PER_MS)
-        passes = 0
-        sumNanos = 0
-        greatestNanos = 0
-        return text
+        val taken = passes
+        passes = Durations()
+        val meanMs = if (taken.count == 0L) 0.0 else taken.totalNanos / NANOS_PER_MS / taken.count
+        return "%d passes, %.2f ms in the mean, %.2f ms the longest"
+            .format(Locale.ROOT, taken.count, meanMs, taken.longestNanos / NANOS_PER_MS)
     }
 }
