--- a/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceDesk.kt
@@ -90,7 +90,8 @@
         steps.values.forEach { it.wanted = emptyList() }
         expire(hosts, nowMs)
         openShort = hosts.count { it !in busy }
-        openLong = minOf(openShort, (hosts.size + 1) / 2 - busy.values.count { it.isLong })
+        openLong =
+            minOf(openShort, (hosts.size + 1) / 2 - busy.values.count { isLongCall(it.terms) })
     }
 
     /** Whether one more call of this kind can begin in this pass, wanted in the order of rank. */
@@ -141,7 +142,7 @@
         step.wanted = candidates.filter { it !in step.asked || it in step.allowed }
             .filter { ticket(stepId, it.workerId, it.boot, nowMs + callMs + WAY_MS) == null }
         if (step.wanted.isEmpty()) return
-        if (step.isLong) openLong-- else openShort--
+        if (isLongCall(terms)) openLong-- else openShort--
     }
 
     /**
@@ -157,11 +158,11 @@
         val due = steps.entries.filter { (_, step) ->
             step.wanted.isNotEmpty() && step.callsUnderWay == 0
         }.sortedBy { it.value.rank }
-        val shortIsDue = due.any { !it.value.isLong }
+        val shortIsDue = due.any { !isLongCall(it.value.terms) }
         val longHosts = if (shortIsDue) hosts.size / 2 else (hosts.size + 1) / 2
-        var longRoom = longHosts - busy.values.count { it.isLong }
+        var longRoom = longHosts - busy.values.count { isLongCall(it.terms) }
         for ((stepId, step) in due) {
-            val isLong = step.isLong
+            val isLong = isLongCall(step.terms)
             for (asked in step.wanted.inCalls()) {
                 if (isLong && longRoom <= 0) break
                 val hostId = free.removeFirstOrNull() ?: return
@@ -277,10 +278,6 @@
 private fun StepAdvice.goesBefore(other: StepAdvice): Boolean =
     wanted.isNotEmpty() && callsUnderWay == 0 && rank < other.rank
 
-private val StepAdvice.isLong: Boolean get() = isLongCall(terms)
-
-private val AdviceCall.isLong: Boolean get() = isLongCall(terms)
-
 /** A call that takes longer than this must leave hosts free for short calls. */
 private const val LONG_CALL_MS = 150.0
 
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -81,7 +81,12 @@
     private fun findPaused(step: ReadyStep, nowMs: Long) {
         val pausedForMs = (notBeforeMs[step.id.jobId] ?: 0) - nowMs
         if (pausedForMs <= 0) return
-        waits.found(step.id, step.facts().copy(pausedForMs = pausedForMs)) { 0 }
+        passOver(step, nowMs) { copy(pausedForMs = pausedForMs) }
+    }
+
+    /** Keeps for the log why no workers were looked for. */
+    private inline fun passOver(step: ReadyStep, nowMs: Long, why: WaitFacts.() -> WaitFacts) {
+        if (waits.isDue(nowMs)) waits.found(step.id, step.facts().why()) { 0 }
     }
 
     private fun ReadyStep.facts() = WaitFacts(
@@ -94,11 +99,7 @@
     private fun place(pass: Pass, step: ReadyStep, usable: List<WorkerLink>, reserved: Reserved) {
         // The room that the call under way is about stays reserved until its answer.
         if (context.desk.isUnderWay(step.id)) {
-            if (waits.isDue(pass.nowMs)) {
-                val facts = step.facts().copy(usable = usable.size, isCalling = true)
-                waits.found(step.id, facts) { 0 }
-            }
-            return
+            return passOver(step, pass.nowMs) { copy(usable = usable.size, isCalling = true) }
         }
         plans.remove(step.id)?.let { reserved.remove(it, step.spec.counted) }
         val nowMs = pass.nowMs
@@ -108,11 +109,7 @@
             !context.desk.hasOpenCall(terms) &&
             !context.desk.holdsTickets(step.id, nowMs + TICKET_MARGIN_MS)
         ) {
-            if (waits.isDue(nowMs)) {
-                val facts = step.facts().copy(usable = usable.size, isQueued = true)
-                waits.found(step.id, facts) { 0 }
-            }
-            return
+            return passOver(step, nowMs) { copy(usable = usable.size, isQueued = true) }
         }
         val allowed = usable.filter { terms == null || context.desk.allows(step.id, it.candidate) }
         val rooms = allowed.map { it.room(step, reserved, nowMs) }
