Bound and check every body from outside before it is parsed or logged

By reading: a job of two billion tasks, negative processors (which add room), dependencies whose chains grow exponentially, a job id with dots, a start far in the future under the id of a sound worker, an Error on the control thread.

Ruled out: a wider catch alone. It would keep the process, but the entry would still be parsed, cut or stored, and the next reader meets it again.

Change: one bounded scan (depth, values) before any JSON is parsed, on the platform and on the product's own calls; each number has a range and a type that can hold it; addresses are checked; odd rows of lists are left out alone; jobs are checked again at the leader, which has the last word. Rejected bodies are counted in a metric and logged five a second at most.

Conclusion: an odd entry harms itself alone. Open: frames of the system's own processes with absurd sizes.

--- a/src/main/kotlin/dev/jackdawdale/entry/ContractJson.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/ContractJson.kt
@@ -69,7 +69,7 @@
     return Contract(
         customerId = path,
         version = version ?: 0,
-        guaranteed = guaranteed.toResources("guaranteed"),
+        guaranteed = guaranteed.toGuaranteed(),
         ceiling = ceiling.toResources("ceiling"),
         maxRunningTasks = atLeast(0, "max_running_tasks", maxRunningTasks),
         maxRunningRequests = atLeast(0, "max_running_requests", maxRunningRequests),
@@ -93,6 +93,12 @@
     atLeast(0L, "$field.accelerators", accelerators)
 )
 
+private fun ResourcesJson.toGuaranteed(): Resources = Resources(
+    resource("guaranteed.cpu_millis", cpuMillis),
+    resource("guaranteed.memory_mib", memoryMib),
+    resource("guaranteed.accelerators", accelerators)
+)
+
 private fun TokenHash.check() {
     if (!hexPattern.matches(saltHex)) throw invalid("token_hashes.salt_hex", "is not hexadecimal")
     if (!hexPattern.matches(hashHex)) throw invalid("token_hashes.hash_hex", "is not hexadecimal")
--- a/src/main/kotlin/dev/jackdawdale/entry/Fields.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/Fields.kt
@@ -32,12 +32,21 @@
     return value
 }
 
+/** Sums over all work and machines of a cell still fit into 64 bits. */
+private const val MAX_RESOURCE = 1_000_000_000_000L
+
 internal fun resources(cpuMillis: Long, memoryMib: Long, accelerators: Long): Resources = Resources(
-    atLeast(0, "cpu_millis", cpuMillis),
-    atLeast(0, "memory_mib", memoryMib),
-    atLeast(0, "accelerators", accelerators)
+    resource("cpu_millis", cpuMillis),
+    resource("memory_mib", memoryMib),
+    resource("accelerators", accelerators)
 )
 
+/** Returns [value], or throws an error that names [field] when no machine has as much. */
+internal fun resource(field: String, value: Long): Long {
+    if (value > MAX_RESOURCE) throw invalid(field, "$value is over $MAX_RESOURCE")
+    return atLeast(0, field, value)
+}
+
 /** A path parameter that must be a valid id. */
 internal fun HttpCall.pathId(name: String): String = validId(name, path.getValue(name))
 
--- a/src/main/kotlin/dev/jackdawdale/entry/HttpConnection.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/HttpConnection.kt
@@ -155,8 +155,15 @@
     } catch (e: CancellationException) {
         throw e
     } catch (e: Exception) {
-        log.error("call {} {} failed", request.method, request.path, e)
-        HttpError(500, "internal", "the call failed on this host", Ran.UNKNOWN).toResult()
+        failed(request, e)
+    } catch (e: StackOverflowError) {
+        // Without an answer the connection would stay busy for good.
+        failed(request, e)
+    }
+
+    private fun failed(request: Received, cause: Throwable): HttpResult {
+        log.error("call {} {} failed", request.method, request.path, cause)
+        return HttpError(500, "internal", "the call failed on this host", Ran.UNKNOWN).toResult()
     }
 
     private fun respond(
--- a/src/main/kotlin/dev/jackdawdale/entry/Json.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/Json.kt
@@ -1,5 +1,6 @@
 package dev.jackdawdale.entry
 
+import dev.jackdawdale.codec.jsonBoundsProblem
 import dev.jackdawdale.model.Refusal
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.MissingFieldException
@@ -24,7 +25,12 @@
 private fun String.toSnakeCase(): String = replace(capital) { "_${it.value.lowercase()}" }
 
 /** Decodes the body of a call; the error of a malformed body names the field where it can. */
-internal fun <T> HttpCall.decodeBody(serializer: KSerializer<T>): T = try {
+internal fun <T> HttpCall.decodeBody(serializer: KSerializer<T>): T {
+    jsonBoundsProblem(body)?.let { throw badRequest("malformed_json", it) }
+    return decodeWithin(serializer)
+}
+
+private fun <T> HttpCall.decodeWithin(serializer: KSerializer<T>): T = try {
     httpJson.decodeFromString(serializer, body.decodeToString(throwOnInvalidSequence = true))
 } catch (e: MissingFieldException) {
     val names = e.missingFields.joinToString(", ") { it.toSnakeCase() }
--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -247,13 +247,20 @@
         }
     }
 
-    /** Halts the process if [action] throws, because the executor would silently stop the timer. */
+    /**
+     * Halts the process if [action] throws, because the executor would silently stop the timer: the
+     * process would keep its leadership and decide nothing.
+     */
+    @Suppress("TooGenericExceptionCaught")
     private fun haltOnError(action: () -> Unit) {
         try {
             action()
-        } catch (e: RuntimeException) {
-            log.error("the control thread failed; the process stops", e)
-            Runtime.getRuntime().halt(FAULT_EXIT_CODE)
+        } catch (e: Throwable) {
+            try {
+                log.error("the control thread failed; the process stops", e)
+            } finally {
+                Runtime.getRuntime().halt(FAULT_EXIT_CODE)
+            }
         }
     }
 
--- a/src/main/kotlin/dev/jackdawdale/outgoing/HttpCaller.kt
+++ b/src/main/kotlin/dev/jackdawdale/outgoing/HttpCaller.kt
@@ -168,10 +168,16 @@
         }
 
         private fun write(channel: Channel, call: PendingCall) {
+            val request = try {
+                call.call.toRequest(address)
+            } catch (e: IllegalArgumentException) {
+                call.end(CallOutcome.NotSent("not a valid request: ${e.message}"))
+                return release(channel)
+            }
             call.channel = channel
             call.written = true
             channel.pipeline()[ResponseHandler::class.java].call = call
-            channel.writeAndFlush(call.call.toRequest(address)).addListener {
+            channel.writeAndFlush(request).addListener {
                 if (!it.isSuccess) call.fail("write failed: ${it.cause().message}")
             }
         }
--- a/src/main/kotlin/dev/jackdawdale/platform/CallerRoutes.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/CallerRoutes.kt
@@ -18,6 +18,9 @@
 private const val DEADLINE_HEADER = "Deadline-Ms"
 private const val DEFAULT_DEADLINE_MS = 3_000L
 
+/** Longer than any caller of the platform waits for an answer. */
+private const val MAX_DEADLINE_MS = 600_000L
+
 /** Part of the caller's deadline that is reserved for sending the answer. */
 private const val ANSWER_MARGIN_MS = 150L
 private const val MIN_CALL_MS = 50L
@@ -26,7 +29,11 @@
 private val log = LogManager.getLogger("dev.jackdawdale.platform")
 
 /** Translates callers' HTTP calls into commands and queries for the leader. */
-internal class CallerRoutes(private val client: ControlClient, private val clock: () -> Long) {
+internal class CallerRoutes(
+    private val client: ControlClient,
+    private val rejected: RejectedBodies,
+    private val clock: () -> Long
+) {
     private val decisions = DecisionLog(log)
 
     /** Handles every call that arrives at the callers' address. */
@@ -65,6 +72,7 @@
         val command = try {
             decodeSubmit(host, path, body)
         } catch (e: MalformedBody) {
+            rejected.record(BodyKind.JOB, path, e.problem)
             return text(BAD_REQUEST, "the job cannot be read: ${e.problem}")
         }
         return answer(run(command, timeoutMs))
@@ -75,7 +83,8 @@
 
     private fun HttpCall.timeoutMs(): Long {
         val deadlineMs = headers[DEADLINE_HEADER]?.toLongOrNull() ?: DEFAULT_DEADLINE_MS
-        return (deadlineMs - ANSWER_MARGIN_MS).coerceAtLeast(MIN_CALL_MS)
+        return (deadlineMs.coerceIn(0, MAX_DEADLINE_MS) - ANSWER_MARGIN_MS)
+            .coerceAtLeast(MIN_CALL_MS)
     }
 
     private fun answer(reply: Reply): HttpResult = when (reply) {
--- a/src/main/kotlin/dev/jackdawdale/platform/OperatorRoutes.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/OperatorRoutes.kt
@@ -11,9 +11,6 @@
 import dev.jackdawdale.push.StagedControl
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
-import org.apache.logging.log4j.LogManager
-
-private val log = LogManager.getLogger("dev.jackdawdale.platform")
 
 /** Below one second, after which callers without an answer try another host. */
 private const val ANSWER_TIMEOUT_MS = 900L
@@ -24,7 +21,11 @@
  *
  * @param port the operators' port, the same on all hosts
  */
-internal class OperatorRoutes(private val control: ControlRole, private val port: Int) {
+internal class OperatorRoutes(
+    private val control: ControlRole,
+    private val port: Int,
+    private val rejected: RejectedBodies
+) {
     val routes = listOf(
         Route("PUT", "/config", Access.ANYONE, ::putConfiguration),
         Route("GET", "/config", Access.ANYONE, ::getConfiguration),
@@ -36,7 +37,7 @@
         val configuration = try {
             decodeConfiguration(call.body)
         } catch (e: MalformedBody) {
-            log.info("rejects a configuration: {}", e.problem)
+            rejected.record(BodyKind.CONFIGURATION, "configuration", e.problem)
             return text(BAD_REQUEST, e.problem)
         }
         return atLeader("/config") { staged, pass, reply ->
@@ -56,10 +57,11 @@
         }
 
     private suspend fun workerReport(call: HttpCall): HttpResult {
+        val workerId = call.path.getValue("id")
         val registration = try {
-            decodeWorkerRegistration(call.path.getValue("id"), call.body)
+            decodeWorkerRegistration(workerId, call.body)
         } catch (e: MalformedBody) {
-            log.warn("rejects a report of worker {}: {}", call.path["id"], e.problem)
+            rejected.record(BodyKind.REGISTRATION, workerId, e.problem)
             return text(BAD_REQUEST, e.problem)
         }
         return atLeader(call.rawPath) { staged, pass, reply ->
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformClient.kt
@@ -15,7 +15,6 @@
 import dev.jackdawdale.staged.PushWorker
 import dev.jackdawdale.staged.StageTaskId
 import dev.jackdawdale.staged.StepId
-import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.add
 import kotlinx.serialization.json.buildJsonObject
@@ -23,7 +22,11 @@
 import kotlinx.serialization.json.putJsonArray
 
 /** Calls workers and the adviser over HTTP and translates their answers. */
-internal class PlatformClient(private val http: HttpCaller, private val settings: PushSettings) {
+internal class PlatformClient(
+    private val http: HttpCaller,
+    private val settings: PushSettings,
+    private val rejected: RejectedBodies
+) {
     /** The client for calls to workers. */
     val workerClient = WorkerClient(::start, ::stop, ::report)
 
@@ -97,24 +100,29 @@
             if (request.waitMs > 0) put("waitMs", request.waitMs)
         }
         val timeoutMs = request.waitMs + settings.reportAnswerMs
-        call(worker, "/hold", body, timeoutMs) { onResult(reportResult(it)) }
+        call(worker, "/hold", body, timeoutMs) { onResult(reportResult(worker.workerId, it)) }
     }
 
-    private fun reportResult(outcome: CallOutcome): ReportResult = when (outcome) {
-        is CallOutcome.NotSent -> ReportResult.Failed(outcome.reason)
-        is CallOutcome.Unanswered -> ReportResult.Failed(outcome.reason)
-        is CallOutcome.Answered -> when (outcome.status) {
-            OK -> try {
-                ReportResult.Reported(decodeRunReport(outcome.body))
-            } catch (e: MalformedBody) {
-                ReportResult.Failed("unreadable lists: ${e.problem}")
+    private fun reportResult(workerId: String, outcome: CallOutcome): ReportResult =
+        when (outcome) {
+            is CallOutcome.NotSent -> ReportResult.Failed(outcome.reason)
+            is CallOutcome.Unanswered -> ReportResult.Failed(outcome.reason)
+            is CallOutcome.Answered -> when (outcome.status) {
+                OK -> try {
+                    val report = decodeRunReport(outcome.body) { rows, problem ->
+                        rejected.record(BodyKind.RUN_REPORT, workerId, problem, rows)
+                    }
+                    ReportResult.Reported(report)
+                } catch (e: MalformedBody) {
+                    rejected.record(BodyKind.RUN_REPORT, workerId, e.problem)
+                    ReportResult.Failed("unreadable lists: ${e.problem}")
+                }
+                OTHER_BOOT -> ReportResult.OtherBoot
+                else -> ReportResult.Failed(
+                    "status ${outcome.status}: ${outcome.body.decodeToString().take(MAX_LOGGED)}"
+                )
             }
-            OTHER_BOOT -> ReportResult.OtherBoot
-            else -> ReportResult.Failed(
-                "status ${outcome.status}: ${outcome.body.decodeToString().take(MAX_LOGGED)}"
-            )
         }
-    }
 
     private fun call(
         worker: PushWorker,
@@ -142,27 +150,27 @@
         }
         val bytes = body.toString().encodeToByteArray()
         http.call(address, OutgoingCall("POST", "/advise", bytes, ADVICE_TIMEOUT_MS)) {
-            onResult(adviceResult(it))
+            onResult(adviceResult(stepId, it))
         }
     }
 
-    private fun adviceResult(outcome: CallOutcome): AdviceResult = when (outcome) {
+    private fun adviceResult(stepId: StepId, outcome: CallOutcome): AdviceResult = when (outcome) {
         is CallOutcome.NotSent -> AdviceResult.Failed(outcome.reason)
         is CallOutcome.Unanswered -> AdviceResult.Failed(outcome.reason)
         is CallOutcome.Answered -> when (outcome.status) {
-            OK -> tickets(outcome.body)
+            OK -> tickets(stepId, outcome.body)
             OVERLOADED -> AdviceResult.Busy
             else -> AdviceResult.Failed("status ${outcome.status}")
         }
     }
 
-    private fun tickets(body: ByteArray): AdviceResult = try {
-        val rows = wireObject(body).array("good").map { it as JsonArray }
-        AdviceResult.Given(rows.associate { it[0].asText("good") to it[1].asText("good") })
+    private fun tickets(stepId: StepId, body: ByteArray): AdviceResult = try {
+        decodeTickets(body) { rows, problem ->
+            rejected.record(BodyKind.ADVICE, stepId.wireName, problem, rows)
+        }
     } catch (e: MalformedBody) {
+        rejected.record(BodyKind.ADVICE, stepId.wireName, e.problem)
         AdviceResult.Failed("unreadable advice: ${e.problem}")
-    } catch (e: ClassCastException) {
-        AdviceResult.Failed("unreadable advice: ${e.message}")
     }
 
     private companion object {
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -36,6 +36,7 @@
 import dev.jackdawdale.wire.PeerAddress
 import dev.jackdawdale.wire.PeerSettings
 import dev.jackdawdale.wire.controlClient
+import io.micrometer.core.instrument.composite.CompositeMeterRegistry
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.runBlocking
@@ -96,11 +97,11 @@
 
     private val hostSettings = settings.toHostSettings()
     private val outgoing = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
-    private val client =
-        PlatformClient(HttpCaller(HttpCallerSettings(), outgoing), pushSettings)
-
     private val registry = settings.metrics?.let { prometheusRegistry(settings.hostName) }
     private val meters = registry?.let(::PushMeters) ?: PushMeters()
+    private val rejected = RejectedBodies(registry ?: CompositeMeterRegistry(), clock)
+    private val client =
+        PlatformClient(HttpCaller(HttpCallerSettings(), outgoing), pushSettings, rejected)
 
     private val control: ControlRole? = settings.operators?.let {
         ControlRole(
@@ -138,11 +139,11 @@
 
     private val servers: List<HttpServer> = listOfNotNull(
         settings.operators?.let { address ->
-            val routes = OperatorRoutes(checkNotNull(control), address.port).routes
+            val routes = OperatorRoutes(checkNotNull(control), address.port, rejected).routes
             httpServer(address.toHttp(), routes)
         },
         settings.callers?.let { address ->
-            val routes = CallerRoutes(checkNotNull(session), clock)
+            val routes = CallerRoutes(checkNotNull(session), rejected, clock)
             httpServer(address.toHttp(), emptyList(), fallback = routes.route)
         },
         settings.metrics?.let { address ->
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformSettings.kt
@@ -51,7 +51,8 @@
 internal fun platformSettings(fields: JsonObject): PlatformSettings {
     val listen = fields.objectOrNull("listen") ?: JsonObject(emptyMap())
     val hostIp = fields.text("ip")
-    val ports = fields.array("internalPortRange").map { it.asLong("internalPortRange").toInt() }
+    val ports = fields.array("internalPortRange").map { port(it.asInt("internalPortRange")) }
+    if (ports.isEmpty()) throw MalformedBody("internalPortRange is empty")
     val operators = listen.textOrNull("control")?.let(::address)
     return PlatformSettings(
         hostName = fields.text("nodeName"),
@@ -67,7 +68,7 @@
         metrics = operators?.let { Address(hostIp, ports.last()) }
             ?.takeIf { it.port != ports.first() },
         adviser = fields.textOrNull("advice"),
-        toleratedLosses = fields.objectOrNull("faultTolerance")?.longOrNull("machines")?.toInt()
+        toleratedLosses = fields.objectOrNull("faultTolerance")?.intOrNull("machines")
             ?: 0,
         gracePeriodMs = fields.objectOrNull("bounds")?.doubleOrNull("graceS")
             ?.let { (it * MS_PER_S).toLong() } ?: DEFAULT_GRACE_MS
@@ -77,8 +78,13 @@
 private fun address(text: String): Address {
     val port = text.substringAfterLast(':').toIntOrNull()
         ?: throw MalformedBody("$text is not an address")
-    return Address(text.substringBeforeLast(':'), port)
+    return Address(text.substringBeforeLast(':'), port(port))
 }
 
+private fun port(number: Int): Int =
+    if (number in PORTS) number else throw MalformedBody("$number is not a port")
+
+private val PORTS = 1..65_535
+
 private const val MS_PER_S = 1_000.0
 private const val DEFAULT_GRACE_MS = 6_000L
--- a/src/main/kotlin/dev/jackdawdale/platform/WireConfiguration.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireConfiguration.kt
@@ -30,21 +30,24 @@
     return QueueConfiguration(fields.long("version"), bytes.decodeToString(), queues)
 }
 
+/** Times of jobs multiplied by it still fit into 64 bits. */
+private const val MAX_STRETCH = 1_000.0
+
 private fun queue(fields: JsonObject) = QueueSpec(
-    name = fields.text("name"),
+    name = fields.nameText("name"),
     host = fields.text("host"),
     pathPrefix = fields.text("pathPrefix"),
     service = fields.text("service"),
-    priority = fields.longOrNull("priority")?.toInt() ?: 0,
-    maxAttempts = fields.longOrNull("maxAttempts")?.toInt()?.coerceAtLeast(1) ?: 1,
-    stretch = fields.doubleOrNull("stretch") ?: 1.0,
-    targetLatencyMs = fields.doubleOrNull("targetLatencyMs")?.toLong() ?: 0,
-    timeoutMs = fields.doubleOrNull("timeoutMs")?.toLong() ?: 0,
+    priority = fields.intOrNull("priority") ?: 0,
+    maxAttempts = fields.intOrNull("maxAttempts")?.coerceAtLeast(1) ?: 1,
+    stretch = fields.doubleOrNull("stretch", MAX_STRETCH) ?: 1.0,
+    targetLatencyMs = fields.durationMsOrNull("targetLatencyMs") ?: 0,
+    timeoutMs = fields.durationMsOrNull("timeoutMs") ?: 0,
     advice = fields.objectOrNull("advice")?.let {
         AdviceTerms(
             decisionMs = it.doubleOrNull("decisionMs") ?: 0.0,
             perWorkerMs = it.doubleOrNull("perWorkerMs") ?: 0.0,
-            validMs = it.doubleOrNull("validityMs")?.toLong() ?: 0
+            validMs = it.durationMsOrNull("validityMs") ?: 0
         )
     }
 )
--- a/src/main/kotlin/dev/jackdawdale/platform/WireJson.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireJson.kt
@@ -1,5 +1,6 @@
 package dev.jackdawdale.platform
 
+import dev.jackdawdale.codec.jsonBoundsProblem
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
@@ -13,8 +14,19 @@
 internal class MalformedBody(val problem: String, cause: Throwable? = null) :
     Exception(problem, cause, false, false)
 
-/** Decodes the bytes of a body. Throws [MalformedBody] when they are not a JSON object. */
+/** The largest whole number that every reader of JSON represents exactly. */
+private const val MAX_WHOLE = (1L shl 53) - 1
+
+/** About three years; sums and multiples of such times fit into 64 bits. */
+private const val MAX_DURATION_MS = 100_000_000_000.0
+private const val MAX_NAME_CHARS = 256
+
+/**
+ * Decodes the bytes of a body. Throws [MalformedBody] when they are not a JSON object, or one that
+ * is nested too deeply or too large to be parsed.
+ */
 internal fun wireObject(bytes: ByteArray): JsonObject {
+    jsonBoundsProblem(bytes)?.let { throw MalformedBody("not readable: $it") }
     val element = try {
         Json.parseToJsonElement(bytes.decodeToString(throwOnInvalidSequence = true))
     } catch (e: IllegalArgumentException) {
@@ -42,14 +54,31 @@
 internal fun JsonObject.text(name: String): String =
     textOrNull(name) ?: throw MalformedBody("$name is missing")
 
-internal fun JsonObject.longOrNull(name: String): Long? =
-    typed(name, "a whole number") { if (it.isString) null else it.longOrNull }
+/** A text of a length that fits into log lines and metric labels. */
+internal fun JsonObject.nameText(name: String): String {
+    val value = text(name)
+    if (value.length > MAX_NAME_CHARS) throw MalformedBody("$name is over $MAX_NAME_CHARS long")
+    return value
+}
+
+internal fun JsonObject.longOrNull(name: String, range: LongRange = 0..MAX_WHOLE): Long? =
+    typed(name, "a whole number from ${range.first} to ${range.last}") { it.longIn(range) }
 
 internal fun JsonObject.long(name: String): Long =
     longOrNull(name) ?: throw MalformedBody("$name is missing")
 
-internal fun JsonObject.doubleOrNull(name: String): Double? =
-    typed(name, "a number") { if (it.isString) null else it.doubleOrNull }
+internal fun JsonObject.intOrNull(name: String): Int? = longOrNull(name, 0L..Int.MAX_VALUE)?.toInt()
+
+internal fun JsonObject.doubleOrNull(name: String, max: Double = MAX_DURATION_MS): Double? =
+    typed(name, "a number from 0 to $max") { number ->
+        if (number.isString) null else number.doubleOrNull?.takeIf { it in 0.0..max }
+    }
+
+/** A time in milliseconds, rounded down. */
+internal fun JsonObject.durationMsOrNull(name: String): Long? = doubleOrNull(name)?.toLong()
+
+private fun JsonPrimitive.longIn(range: LongRange): Long? =
+    if (isString) null else longOrNull?.takeIf { it in range }
 
 internal fun JsonObject.flag(name: String): Boolean =
     typed(name, "true or false") { it.booleanOrNull } ?: false
@@ -74,6 +103,36 @@
 internal fun JsonElement.asText(name: String): String = (this as? JsonPrimitive)
     ?.takeIf { it.isString }?.content ?: throw MalformedBody("$name holds something but a text")
 
-internal fun JsonElement.asLong(name: String): Long = (this as? JsonPrimitive)
-    ?.takeIf { !it.isString }?.longOrNull
-    ?: throw MalformedBody("$name holds something but a whole number")
+internal fun JsonElement.asLong(name: String, range: LongRange = 0..MAX_WHOLE): Long =
+    (this as? JsonPrimitive)?.longIn(range)
+        ?: throw MalformedBody("$name holds something but a whole number in its range")
+
+internal fun JsonElement.asInt(name: String): Int = asLong(name, 0L..Int.MAX_VALUE).toInt()
+
+/** The value at [index] of a row of the list [name]. */
+internal fun JsonElement.value(index: Int, name: String): JsonElement {
+    val row = this as? JsonArray ?: throw MalformedBody("$name holds a row that is not a list")
+    return row.getOrNull(index) ?: throw MalformedBody("$name holds a row of ${row.size} values")
+}
+
+/** The rows that [read] can decode, and the problem of the first other one, if any. */
+internal fun <T> JsonArray.readRows(read: (JsonElement) -> T): ReadRows<T> {
+    var problem: String? = null
+    val rows = mapNotNull { row ->
+        try {
+            read(row)
+        } catch (e: MalformedBody) {
+            problem = problem ?: e.problem
+            null
+        }
+    }
+    return ReadRows(rows, size - rows.size, problem)
+}
+
+/**
+ * The readable rows of a list.
+ *
+ * @property skipped number of rows that were left out
+ * @property problem what is wrong with the first of them
+ */
+internal class ReadRows<T>(val rows: List<T>, val skipped: Int, val problem: String?)
--- a/src/main/kotlin/dev/jackdawdale/push/ReadyStep.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/ReadyStep.kt
@@ -53,6 +53,8 @@
 /** The steps of [job] that have waiting tasks and whose earlier steps are complete. */
 internal fun readySteps(job: StagedJob): List<ReadyStep> {
     if (job.outcome != null) return emptyList()
+    val chainsMs = job.chainsMs()
+    val objectiveMs = job.objectiveMs(chainsMs)
     return job.occurrences.flatMap { occurrence ->
         val dueBaseMs = job.dueBaseMs(occurrence.number)
         occurrence.steps.mapIndexedNotNull { number, step ->
@@ -69,8 +71,7 @@
                 waiting.isNotEmpty()
             }
             if (!isWaiting) return@mapIndexedNotNull null
-            val objectiveMs = job.objectiveMs()
-            val restMs = job.chainMs(number)
+            val restMs = chainsMs[number]
             ReadyStep(
                 id = StepId(job.spec.jobId, occurrence.number, number),
                 job = job,
@@ -88,15 +89,25 @@
     spec.schedule?.let { it.firstAtMs + occurrence * it.everyMs } ?: acceptedAtMs
 
 /** Longest duration with which the job is on time, in milliseconds. */
-internal fun StagedJob.objectiveMs(): Long {
-    val chainMs = spec.steps.indices.maxOfOrNull { chainMs(it) } ?: 0
-    return (terms.stretch * chainMs).toLong() + terms.targetLatencyMs
-}
+internal fun StagedJob.objectiveMs(): Long = objectiveMs(chainsMs())
+
+private fun StagedJob.objectiveMs(chainsMs: List<Long>): Long =
+    (terms.stretch * (chainsMs.maxOrNull() ?: 0)).toLong() + terms.targetLatencyMs
 
-/** Longest chain of steps from the start of step [from] to the end of the job (critical path). */
-private fun StagedJob.chainMs(from: Int): Long {
+/**
+ * For each step, the longest chain of steps from its start to the end of the job (critical path).
+ *
+ * Visits each dependency once: the number of chains grows exponentially with the steps.
+ */
+private fun StagedJob.chainsMs(): List<Long> {
     val adviceMs = terms.advice?.let { adviceCallMs(it, WORKERS_PER_ADVICE_CALL).toLong() } ?: 0
-    val ownMs = spec.steps[from].estimatedMs.takeIf { it > 0 } ?: DEFAULT_ESTIMATE_MS
-    val next = spec.steps.indices.filter { from in spec.steps[it].after && it > from }
-    return adviceMs + ownMs + (next.maxOfOrNull { chainMs(it) } ?: 0)
+    val afterMs = LongArray(spec.steps.size)
+    val chainsMs = LongArray(spec.steps.size)
+    for (number in spec.steps.indices.reversed()) {
+        val step = spec.steps[number]
+        val ownMs = step.estimatedMs.takeIf { it > 0 } ?: DEFAULT_ESTIMATE_MS
+        chainsMs[number] = adviceMs + ownMs + afterMs[number]
+        step.after.forEach { afterMs[it] = maxOf(afterMs[it], chainsMs[number]) }
+    }
+    return chainsMs.toList()
 }
--- a/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
@@ -17,8 +17,10 @@
 import dev.jackdawdale.staged.StagedReply
 import dev.jackdawdale.staged.StagedState
 import dev.jackdawdale.staged.isPending
+import dev.jackdawdale.staged.isValidJobId
 import dev.jackdawdale.staged.job
 import dev.jackdawdale.staged.jobIdIn
+import dev.jackdawdale.staged.problemOf
 import dev.jackdawdale.staged.queueFor
 import dev.jackdawdale.telemetry.DecisionLog
 import org.apache.logging.log4j.LogManager
@@ -88,6 +90,8 @@
             configuration == null -> StagedReply.NotConfigured
             queue == null -> StagedReply.NoSuchQueue
             jobId == null -> StagedReply.Malformed("the path names no job")
+            !isValidJobId(jobId) ->
+                StagedReply.Malformed("a job id has 1 to 128 letters, digits, _ or -")
             command is StagedCommand.Submit -> submit(pass, leading, queue, jobId, command)
             else -> cancel(pass, leading, jobId)
         }
@@ -105,7 +109,7 @@
         if (known != null) return StagedReply.Job(jobId, known.progress)
         val spec =
             StagedJobSpec(jobId, queue.name, command.payload, command.steps, command.schedule)
-        problemOf(spec)?.let { return StagedReply.Malformed(it) }
+        problemOf(spec.steps, spec.schedule)?.let { return StagedReply.Malformed(it) }
         leading.emit(pass, StagedEvent.JobAccepted(spec, queue))
         decisions.line(pass.nowMs, jobId) {
             val version = pass.state.staged.configuration?.version
@@ -143,12 +147,3 @@
         JobOutcome.CANCELLED -> JobProgress.CANCELLED
         null -> if (startedAtMs == null) JobProgress.QUEUED else JobProgress.RUNNING
     }
-
-/** Why the job's description is invalid, or null. */
-internal fun problemOf(spec: StagedJobSpec): String? = when {
-    spec.steps.isEmpty() -> "the job has no steps"
-    spec.steps.any { it.taskCount <= 0 } -> "a step has no tasks"
-    spec.steps.withIndex().any { (number, step) -> step.after.any { it !in 0 until number } } ->
-        "a step waits for a step that is not before it"
-    else -> null
-}
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
@@ -17,6 +17,11 @@
         val known = link?.worker
         val nowMs = pass.nowMs
         when {
+            worker.boot > nowMs + MAX_BOOT_AHEAD_MS -> log.warn(
+                "ignores a registration of {}, which would have started at {}",
+                worker.workerId,
+                worker.boot
+            )
             isSuperseded(worker) -> Unit
             known == null -> join(pass, registration)
             worker.boot < known.boot -> Unit
@@ -85,6 +90,7 @@
         context.emit(pass, StagedEvent.WorkerLeft(worker.workerId, worker.boot))
     }
 
+    /** Ends the runs of a worker on which nothing runs any more, as interrupted. */
     fun interruptAll(pass: Pass, link: WorkerLink) {
         link.held.values.toList().forEach { run ->
             val result = RunResult.INTERRUPTED
@@ -94,4 +100,9 @@
             )
         }
     }
+
+    private companion object {
+        /** Clocks may differ by seconds. A later start would outdate each true one of that id. */
+        const val MAX_BOOT_AHEAD_MS = 86_400_000L
+    }
 }
--- a/src/test/kotlin/dev/jackdawdale/entry/HttpContractTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/entry/HttpContractTest.kt
@@ -109,6 +109,14 @@
     "negative processors" to jobWith("cpu_millis", "-1"),
     "negative memory" to jobWith("memory_mib", "-1"),
     "negative accelerators" to jobWith("accelerators", "-1"),
+    "more processors than any cell has" to jobWith("cpu_millis", "9223372036854775807"),
+    "memory over 64 bits" to job(
+        """{"request_id": "x", "kind": "batch", "cpu_millis": 1, "memory_mib": 99999999999999999999}""",
+        "malformed_json",
+        "overflow"
+    ),
+    "deep nesting in an unknown field" to
+        job("""{"other": ${"[".repeat(10_000)}${"]".repeat(10_000)}}""", "malformed_json", "deep"),
     "no tasks" to jobWith("task_count", "0"),
     "too many tasks" to jobWith("task_count", "2000000000"),
     "a time limit of zero" to jobWith("time_limit_ms", "0"),
@@ -123,6 +131,11 @@
         """{"incarnation": 1, "cpu_millis": -5, "memory_mib": 1}""",
         "cpu_millis"
     ),
+    "a worker of any size" to member(
+        "/v1/workers/w/announce",
+        """{"incarnation": 1, "cpu_millis": 9223372036854775807, "memory_mib": 1}""",
+        "cpu_millis"
+    ),
     "a negative token" to member(
         "/v1/workers/w/announce",
         """{"incarnation": 1, "cpu_millis": 5, "memory_mib": 1,
--- a/src/test/kotlin/dev/jackdawdale/testing/TestCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/testing/TestCell.kt
@@ -184,5 +184,5 @@
     }
 }
 
-private val PROGRAM = File("target/jackdawdale").absoluteFile
+internal val PROGRAM: File = File("target/jackdawdale").absoluteFile
 private const val POLL_MS = 20L
