Let long advice calls use two thirds of the hosts, and medium ones their own share

Long calls might use half of the hosts, and the widest kind, which ranks first, took all of these: from second 21 on no step of the medium kind was ever asked about. Calls took 14 of 33 host-seconds a second.

Ruled out: fragmentation and tickets that lapse while room is found (one or two steps each); the leader's processor time (passes 2.9 to 3.5 ms in the mean but for the first five seconds of a term).

Change: CallBudget gives each length of call a share of the hosts together with the longer ones: all, 85%, 65%. Requests beyond it take nothing.

Conclusion: hosts, not room, were short.

--- a/src/main/kotlin/dev/jackdawdale/push/AdviceScheduler.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceScheduler.kt
@@ -56,8 +56,8 @@
  * adviser handles one call at a time per calling host, so calls are spread over the hosts, the most
  * urgent first.
  *
- * Long calls use only some of the hosts: a call for the widest steps takes longer than a short job
- * may take. Used on the control thread only.
+ * Longer calls use only some of the hosts, so that shorter ones never wait for them: a call for the
+ * widest steps takes longer than a short job may take. Used on the control thread only.
  *
  * @param firstCallId unique per leader, because answers may arrive after a leader change
  */
@@ -69,8 +69,7 @@
 
     /** Time of each host's last failed call; these hosts get calls after the others. */
     private val failedMs = HashMap<HostId, Long>()
-    private var shortCallsLeft = 0
-    private var longCallsLeft = 0
+    private var budget = CallBudget(0, emptyList())
     private var nextCallId = firstCallId
 
     val callsInFlight: Int get() = calls.size
@@ -93,17 +92,14 @@
     fun beginPass(hosts: Collection<HostId>, nowMs: Long) {
         steps.values.forEach { it.toAsk = emptyList() }
         expire(hosts, nowMs)
-        shortCallsLeft = hosts.count { it !in busy }
-        longCallsLeft =
-            minOf(shortCallsLeft, (hosts.size + 1) / 2 - busy.values.count { isLongCall(it.terms) })
+        budget = CallBudget(hosts.size, busy.values.map { callLength(it.terms) })
     }
 
     /**
      * Whether one more call with [terms] can start in this pass. Calls must be requested in the
      * order of rank.
      */
-    fun canStartCall(terms: AdviceTerms): Boolean =
-        if (isLongCall(terms)) longCallsLeft > 0 else shortCallsLeft > 0
+    fun canStartCall(terms: AdviceTerms): Boolean = budget.allows(callLength(terms))
 
     /** True when some worker has a ticket for the step that is valid beyond [untilMs]. */
     fun hasTickets(stepId: StepId, untilMs: Long): Boolean =
@@ -149,7 +145,7 @@
         step.toAsk = candidates.filter { it !in step.asked || it in step.allowed }
             .filter { ticket(stepId, it.workerId, it.boot, nowMs + callMs + TRANSIT_MS) == null }
         if (step.toAsk.isEmpty()) return
-        if (isLongCall(terms)) longCallsLeft-- else shortCallsLeft--
+        budget.take(callLength(terms))
     }
 
     /**
@@ -165,15 +161,14 @@
         val due = steps.entries.filter { (_, step) ->
             step.toAsk.isNotEmpty() && step.callsInFlight == 0
         }.sortedBy { it.value.rank }
-        val shortIsDue = due.any { !isLongCall(it.value.terms) }
-        val longHosts = if (shortIsDue) hosts.size / 2 else (hosts.size + 1) / 2
-        var longHostsLeft = longHosts - busy.values.count { isLongCall(it.terms) }
+        val shortest = due.minOfOrNull { callLength(it.value.terms) } ?: return
+        val left = CallBudget(hosts.size, busy.values.map { callLength(it.terms) }, shortest)
         for ((stepId, step) in due) {
-            val isLong = isLongCall(step.terms)
+            val length = callLength(step.terms)
             for (asked in step.toAsk.splitIntoCalls()) {
-                if (isLong && longHostsLeft <= 0) break
+                if (!left.allows(length)) break
                 val hostId = free.removeFirstOrNull() ?: return
-                if (isLong) longHostsLeft--
+                left.take(length)
                 start(hostId, stepId, step, asked, nowMs)
             }
         }
@@ -286,12 +281,8 @@
 private fun StepAdvice.isAheadOf(other: StepAdvice): Boolean =
     toAsk.isNotEmpty() && callsInFlight == 0 && rank < other.rank
 
-/** Calls that take longer may not use all hosts. */
-private const val LONG_CALL_MS = 150.0
-
 /** Whether a call about [WORKERS_PER_ADVICE_CALL] workers is long. */
-internal fun isLongCall(terms: AdviceTerms): Boolean =
-    adviceCallMs(terms, WORKERS_PER_ADVICE_CALL) > LONG_CALL_MS
+internal fun isLongCall(terms: AdviceTerms): Boolean = callLength(terms) > CallLength.SHORT
 
 /** Processing time of one call at the adviser, in milliseconds. */
 internal fun adviceCallMs(terms: AdviceTerms, workers: Int): Double =
--- a/src/test/kotlin/dev/jackdawdale/push/AdviceSchedulerTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/AdviceSchedulerTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.shouldBe
 
 private val longTerms = AdviceTerms(decisionMs = 480.0, perWorkerMs = 7.0, validMs = 2_000)
+private val mediumTerms = AdviceTerms(decisionMs = 130.0, perWorkerMs = 2.0, validMs = 2_000)
 private val shortTerms = AdviceTerms(decisionMs = 7.0, perWorkerMs = 0.1, validMs = 2_000)
 private val workers = List(3) { Candidate("w$it", boot = 1) }
 private val hosts = List(4) { HostId("h$it") }
@@ -52,6 +53,34 @@
             sent.calls.map { it.stepId } shouldBe listOf(stepId("long"))
         }
 
+        test("calls of medium length wait until all long ones have had their turn") {
+            val sent = Sent()
+            val many = List(20) { HostId("h$it") }
+            sent.advice.beginPass(many, 0)
+            repeat(30) {
+                sent.advice.request(stepId("long$it"), longTerms, workers, it.toDouble(), 0)
+            }
+            sent.advice.canStartCall(longTerms) shouldBe false
+            sent.advice.canStartCall(mediumTerms) shouldBe true
+            repeat(10) {
+                sent.advice.request(stepId("m$it"), mediumTerms, workers, 100.0 + it, 0)
+            }
+            sent.advice.request(stepId("short"), shortTerms, workers, 200.0, 0)
+            sent.advice.dispatch(many, 0)
+            sent.calls.groupingBy { it.terms }.eachCount() shouldBe
+                mapOf(longTerms to 13, mediumTerms to 4, shortTerms to 1)
+        }
+
+        test("hosts are idle while long calls wait, as most are kept for short ones") {
+            val sent = Sent()
+            val many = List(33) { HostId("h$it") }
+            repeat(40) {
+                sent.advice.request(stepId("long$it"), longTerms, workers, it.toDouble(), 0)
+            }
+            sent.advice.dispatch(many, 0)
+            sent.calls shouldHaveSize 21
+        }
+
         test("a host gets a second call before its first is answered") {
             val sent = Sent()
             repeat(6) { sent.advice.request(stepId("s$it"), shortTerms, workers, it.toDouble(), 0) }
--- a/src/test/kotlin/dev/jackdawdale/push/MixedLoad.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/MixedLoad.kt
@@ -70,11 +70,16 @@
     /** Run time of each task of the job. */
     fun runMs(jobId: String): Long = runTimes.getValue(jobId)
 
-    fun run(cell: SimulatedCell, forMs: Long) {
+    /** Submits jobs for a time, those of queue [burstOf] at [burstFactor] times their rate. */
+    fun run(cell: SimulatedCell, forMs: Long, burstOf: String = "", burstFactor: Double = 1.0) {
         val untilMs = cell.nowMs + forMs
         while (cell.nowMs < untilMs) {
             for (kind in kinds) {
-                if (random.nextDouble() < kind.jobsPerS * STEP_MS / MS_PER_S) submit(cell, kind)
+                val factor = if (kind.queue.name == burstOf) burstFactor else 1.0
+                val expected = factor * kind.jobsPerS * STEP_MS / MS_PER_S
+                val certain = expected.toInt()
+                val jobs = certain + if (random.nextDouble() < expected - certain) 1 else 0
+                repeat(jobs) { submit(cell, kind) }
             }
             cell.advance(STEP_MS)
         }
--- a/src/test/kotlin/dev/jackdawdale/push/SimulatedCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/SimulatedCell.kt
@@ -18,7 +18,6 @@
 private const val PASS_MS = 15L
 private const val COMMIT_MS = 12L
 private const val NETWORK_MS = 2L
-private const val ADVISER_DELAY_MS = 100L
 private const val PERCENT = 100
 
 /** The contents of a simulated ticket. */
@@ -33,12 +32,14 @@
  * starts every run that has a valid ticket, even beyond its capacity, and lists its ends.
  *
  * @param allowedPercent share of the workers that the policy of a queue allows, by its name
+ * @param adviserDelayMs time from the leader through a calling host to the adviser, and back
  * @param runMs run time of a task
  */
 internal class SimulatedCell(
     workers: List<PushWorker>,
     adviceHosts: Int,
     private val allowedPercent: Map<String, Int>,
+    private val adviserDelayMs: Long = 100,
     private val runMs: (StageTaskId) -> Long
 ) {
     private val timers = PriorityQueue<Timer>(compareBy({ it.atMs }, { it.number }))
@@ -89,7 +90,7 @@
 
     private fun askAdvice(call: AdviceCall): Boolean {
         adviceCalls++
-        val beginMs = maxOf(nowMs + ADVISER_DELAY_MS, busyUntilMs[call.hostId] ?: 0)
+        val beginMs = maxOf(nowMs + adviserDelayMs, busyUntilMs[call.hostId] ?: 0)
         val endMs = beginMs + adviceCallMs(call.terms, call.asked.size).toLong()
         busyUntilMs[call.hostId] = endMs
         val percent = allowedPercent.getValue(queueOf.getValue(call.stepId.jobId))
@@ -97,7 +98,7 @@
         val given = call.asked.filter { candidate ->
             abs((call.stepId to candidate.workerId).hashCode() % PERCENT) < percent
         }
-        after(endMs + ADVISER_DELAY_MS - nowMs) {
+        after(endMs + adviserDelayMs - nowMs) {
             val tickets = given.associate { it.workerId to ticket.text }
             leader.adviceAnswered(call, AdviceResult.Given(tickets))
         }
