Wait for the port of a closed network before a test binds it again

Besides, the port was one of the ephemeral range, which any outgoing connection may take.

Change: the port comes from freePorts, and the test waits until it can be bound.

--- a/src/test/kotlin/dev/jackdawdale/wire/PeerNetworkTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/wire/PeerNetworkTest.kt
@@ -5,6 +5,7 @@
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.model.cellCbor
 import dev.jackdawdale.testing.conditionTimeout
+import dev.jackdawdale.testing.freePorts
 import dev.jackdawdale.timeline.HybridTime
 import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.FunSpec
@@ -15,6 +16,7 @@
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writeInt
 import java.io.DataOutputStream
+import java.net.InetAddress
 import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
@@ -73,6 +75,11 @@
     override fun close() = network.close()
 }
 
+/** Waits for the selector of a closed network, which releases its port when it runs next. */
+private suspend fun awaitReleased(port: Int) = eventually(conditionTimeout) {
+    ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close()
+}
+
 /** Each test is named after the failure that it guards against. */
 class PeerNetworkTest :
     FunSpec({
@@ -80,9 +87,9 @@
         afterSpec { selector.close() }
 
         test("messages are lost or reordered, or a restarted peer is not reconnected") {
-            val settings = loopbackPeer("c1")
+            val port = freePorts(1).single()
+            val settings = loopbackPeer("c1").copy(port = port)
             val first = Recorder(settings)
-            val port = first.network.port
             val sender = Recorder(loopbackPeer("c2", port))
             sender.use {
                 eventually(conditionTimeout) {
@@ -99,7 +106,8 @@
                         false
                 }
                 sender.network.send(HostId("c1"), "lost") shouldBe false
-                Recorder(settings.copy(port = port)).use { second ->
+                awaitReleased(port)
+                Recorder(settings).use { second ->
                     eventually(conditionTimeout) {
                         sender.network.send(HostId("c1"), "again") shouldBe true
                         second.events.contains("again") shouldBe true
