--- a/src/main/kotlin/dev/jackdawdale/entry/Fields.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/Fields.kt
@@ -1,6 +1,7 @@
 package dev.jackdawdale.entry
 
 import dev.jackdawdale.model.CustomerId
+import dev.jackdawdale.model.MAX_RESOURCE
 import dev.jackdawdale.model.Resources
 import dev.jackdawdale.model.isValidId
 
@@ -32,9 +33,6 @@
     return value
 }
 
-/** Sums over all work and machines of a cell still fit into 64 bits. */
-private const val MAX_RESOURCE = 1_000_000_000_000L
-
 internal fun resources(cpuMillis: Long, memoryMib: Long, accelerators: Long): Resources = Resources(
     resource("cpu_millis", cpuMillis),
     resource("memory_mib", memoryMib),
--- a/src/main/kotlin/dev/jackdawdale/model/Resources.kt
+++ b/src/main/kotlin/dev/jackdawdale/model/Resources.kt
@@ -39,5 +39,12 @@
     maxOf(accelerators, other.accelerators)
 )
 
+/** Largest amount of a resource of one task or machine; sums over a cell fit into 64 bits. */
+internal const val MAX_RESOURCE = 1_000_000_000_000L
+
+/** True when each dimension is from 0 to [MAX_RESOURCE]. */
+internal fun Resources.isInRange(): Boolean =
+    listOf(cpuMillis, memoryMib, accelerators).all { it in 0..MAX_RESOURCE }
+
 /** True when no dimension is negative. */
 fun Resources.isNonNegative(): Boolean = cpuMillis >= 0 && memoryMib >= 0 && accelerators >= 0
--- a/src/main/kotlin/dev/jackdawdale/platform/WireWorker.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireWorker.kt
@@ -1,5 +1,6 @@
 package dev.jackdawdale.platform
 
+import dev.jackdawdale.model.MAX_RESOURCE
 import dev.jackdawdale.outgoing.socketAddress
 import dev.jackdawdale.push.EndedRun
 import dev.jackdawdale.push.ListedEnd
@@ -8,7 +9,6 @@
 import dev.jackdawdale.push.StartRefusal
 import dev.jackdawdale.push.WorkerRegistration
 import dev.jackdawdale.staged.AdviceResult
-import dev.jackdawdale.staged.MAX_RESOURCE
 import dev.jackdawdale.staged.PushWorker
 import dev.jackdawdale.staged.StageTaskId
 import kotlinx.serialization.json.JsonArray
@@ -96,17 +96,12 @@
 
 private fun endedRow(row: JsonElement): EndedRun {
     val kind = row.value(END_KIND, "endedRuns").asText("endedRuns")
-    val hasCheckpoint = (row as? JsonArray)?.size ?: 0 > END_CHECKPOINT
     return EndedRun(
         number = row.value(0, "endedRuns").asLong("endedRuns"),
         taskId = row.taskId(1, "endedRuns"),
         run = row.value(2, "endedRuns").asInt("endedRuns"),
         end = endKinds[kind] ?: throw MalformedBody("end $kind is not known"),
-        checkpoint = if (hasCheckpoint) {
-            row.value(END_CHECKPOINT, "endedRuns").asText("endedRuns")
-        } else {
-            ""
-        }
+        checkpoint = (row as JsonArray).getOrNull(END_CHECKPOINT)?.asText("endedRuns").orEmpty()
     )
 }
 
--- a/src/main/kotlin/dev/jackdawdale/staged/JobLimits.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/JobLimits.kt
@@ -1,9 +1,7 @@
 package dev.jackdawdale.staged
 
-import dev.jackdawdale.model.Resources
-
-/** Largest amount of a resource of one task or worker; sums over a cell fit into 64 bits. */
-internal const val MAX_RESOURCE = 1_000_000_000_000L
+import dev.jackdawdale.model.MAX_RESOURCE
+import dev.jackdawdale.model.isInRange
 
 /** Each end of a run copies the list of its step's tasks. */
 private const val MAX_TASKS_PER_JOB = 10_000
@@ -31,6 +29,3 @@
         "the job runs more than $MAX_OCCURRENCES times"
     else -> null
 }
-
-private fun Resources.isInRange(): Boolean =
-    listOf(cpuMillis, memoryMib, accelerators).all { it in 0..MAX_RESOURCE }
