--- a/review/standins/RouteDroppedDuringCut.java
+++ b/review/standins/RouteDroppedDuringCut.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeSet;
 
 /**
@@ -13,7 +14,7 @@
  */
 final class RouteDroppedDuringCut {
     private static final int MINIONS = 8;
-    private static final int CONSUMERS = 16;
+    private static final int CONSUMERS = 48;
     private static final int TASK_MS = 300;
     private static final int CUT_MS = 1_500;
 
@@ -92,6 +93,7 @@
             Journal journal, Cell cell, int consumer, boolean[] stop, Map<String, List<Integer>> answers) {
         String body = "{\"spec\":\"ms=" + TASK_MS + "\",\"steps\":[{\"count\":1,\"cpu\":500,"
             + "\"memMb\":64,\"estimatedMs\":" + TASK_MS + "}]}";
+        Random pause = new Random(consumer);
         for (int number = 0; ; number++) {
             String job = String.format("5c0e7a21%04x%04x", consumer, number);
             synchronized (answers) {
@@ -109,14 +111,15 @@
                 synchronized (answers) {
                     answers.get(job).add(status);
                 }
-                if (status != 200 || number % 50 == 0) {
+                if (status != 200 || number % 200 == 0) {
                     journal.line("consumer: POST of job %s sent at %d ms: %d", job, sentMs, status);
                 }
                 // Only an attempt without a clear answer, or turned away for now, is made again.
                 if (status == 200 || status == 404 || status == 400) break;
                 Minion.sleep(200);
             }
-            if (answers.get(job).contains(404)) Minion.sleep(500);
+            // Consumers don't act in step with each other.
+            Minion.sleep(answers.get(job).contains(404) ? 500 : pause.nextInt(20));
         }
     }
 
