--- a/review/standins/Minion.java
+++ b/review/standins/Minion.java
@@ -77,6 +77,7 @@
     private volatile String state = "ready";
     private volatile boolean up = true;
     private volatile int preferred;
+    private volatile boolean unhealthy;
 
     Minion(String id, String service, String rack, String ip, int port, Journal journal, Runs runs)
             throws IOException {
@@ -102,6 +103,12 @@
         address = otherAddress;
     }
 
+    /** While unhealthy, it refuses each start with 503 and does nothing, and is healthy otherwise. */
+    void unhealthy(boolean now) {
+        unhealthy = now;
+        journal.line("minion %s: %s", id, now ? "turns unhealthy" : "is healthy again");
+    }
+
     boolean isUp() {
         return up;
     }
@@ -263,6 +270,7 @@
         int number = (int) Json.number(order, "run", 0);
         long token = Json.number(order, "fencingToken", 0);
         long deadlineMs = Json.number(order, "deadlineMs", 0);
+        if (unhealthy) return 503;
         synchronized (running) {
             if (token < fence) return refuse(answer, "fence");
             fence = token;
