--- a/review/standins/PendingBesideUnhealthy.java
+++ b/review/standins/PendingBesideUnhealthy.java
@@ -13,7 +13,7 @@
  */
 final class PendingBesideUnhealthy {
     private static final int MINIONS = 12;
-    private static final int JOBS = 20;
+    private static final int JOBS = 40;
     private static final int FILL_MS = 14_000;
     private static final int UNHEALTHY_MS = 6_500;
 
@@ -35,9 +35,9 @@
         System.exit(status);
     }
 
-    private static String job(int tasks, int ms) {
+    private static String job(int tasks, int cpu, int ms) {
         return "{\"spec\":\"ms=" + ms + "\",\"steps\":[{\"count\":" + tasks
-            + ",\"cpu\":64000,\"memMb\":1024,\"estimatedMs\":" + ms + "}]}";
+            + ",\"cpu\":" + cpu + ",\"memMb\":1024,\"estimatedMs\":" + ms + "}]}";
     }
 
     private static int play(Journal journal, boolean trouble) throws Exception {
@@ -55,22 +55,25 @@
                 minions.add(minion);
             }
             Minion.sleep(3_000);
-            int fill = Cell.consumer(http, cell.front(0), "POST", "/plans/5c0e7a21ffffffff", job(MINIONS - 1, FILL_MS));
+            int fill = Cell.consumer(http, cell.front(0), "POST", "/plans/5c0e7a21ffffffff", job(MINIONS - 1, 64_000, FILL_MS));
             journal.line("consumer: POST of job 5c0e7a21ffffffff, which fills all minions but one: %d", fill);
             if (fill != 200 || !await(journal, runs, MINIONS - 1)) return 2;
             Set<String> used = runs.all().stream().map(run -> run.minion).collect(Collectors.toSet());
             Minion free = minions.stream().filter(minion -> !used.contains(minion.id)).findFirst().orElseThrow();
-            long unhealthyMs = journal.nowMs();
-            if (trouble) free.unhealthy(true);
-            TreeSet<String> jobs = new TreeSet<>();
-            for (int i = 0; i < JOBS; i++) {
-                String job = String.format("5c0e7a21%08x", i);
-                int answer = Cell.consumer(http, cell.front(0), "POST", "/plans/" + job, job(1, FILL_MS));
-                journal.line("consumer: POST of job %s: %d", job, answer);
-                if (answer != 200) return 2;
-                jobs.add(job);
+            if (trouble) {
+                free.unhealthy(true);
+                Thread end = new Thread(() -> {
+                    Minion.sleep(UNHEALTHY_MS);
+                    free.unhealthy(false);
+                });
+                end.setDaemon(true);
+                end.start();
             }
-            Minion.sleep(VISIBLE_MS + 200);
+            TreeSet<String> jobs = new TreeSet<>();
+            for (int i = 0; i < JOBS; i++) jobs.add(String.format("5c0e7a21%08x", i));
+            List<Integer> answers = jobs.parallelStream().map(job -> submit(journal, cell, job)).toList();
+            if (answers.stream().anyMatch(answer -> answer != 200)) return 2;
+            Minion.sleep(VISIBLE_MS + 100);
             boolean broken = false;
             for (int i = 0; i < 3; i++) {
                 Http.Answer answer = http.call(cell.front(0), "GET", "/plans/",
@@ -88,16 +91,22 @@
                 }
                 Minion.sleep(200);
             }
-            if (trouble) {
-                while (journal.nowMs() < unhealthyMs + UNHEALTHY_MS) Minion.sleep(10);
-                free.unhealthy(false);
-            }
             return broken ? 1 : 0;
         } finally {
             for (Minion minion : minions) minion.close();
         }
     }
 
+    private static int submit(Journal journal, Cell cell, String job) {
+        try (Http http = new Http()) {
+            int answer = Cell.consumer(http, cell.front(0), "POST", "/plans/" + job, job(1, 3_000, FILL_MS));
+            journal.line("consumer: POST of job %s: %d", job, answer);
+            return answer;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     private static boolean await(Journal journal, Minion.Runs runs, int count) {
         long dueMs = journal.nowMs() + 10_000;
         while (runs.all().size() < count && journal.nowMs() < dueMs) Minion.sleep(20);
