Keep the runs of a leaving worker until it lists their ends or its lease expires

A task of a leaving worker behind a one-way cut started a second time within a second, and both runs worked side by side for about three seconds.

Cause: RunReports took the first failed call after a leave notice for the end of the process, and WorkerRegistry.removeWorker ended its runs as interrupted. The worker had no answer to its notice and went on under its lease.

Change: a failed call ends no run. So that a planned leave doesn't cost the rest of a lease, the runs of a worker that reported that it drains are stopped when its notice arrives, and the notice is answered once their ends are listed, or after 600 ms. A late notice of an earlier process stops nothing. Each end of a run now names its evidence (EndEvidence), also in the decision log, so that a log says why the leader held that a run had ended.

--- /dev/null
+++ b/src/main/kotlin/dev/jackdawdale/push/EndEvidence.kt
@@ -0,0 +1,23 @@
+package dev.jackdawdale.push
+
+/**
+ * What shows that a run has ended, or never starts.
+ *
+ * A failed call shows nothing: the worker may be cut off, and works on under its lease.
+ */
+internal enum class EndEvidence {
+    /** The worker's process listed the end, or no longer lists the run and can't start it. */
+    REPORTED,
+
+    /** The lease of the worker's process has expired, so it has ended all its runs. */
+    LEASE_EXPIRED,
+
+    /** Another process has the worker's id or address. */
+    REPLACED,
+
+    /** The only order for the run was refused. */
+    ORDER_REFUSED,
+
+    /** No order for the run was sent. */
+    NOT_SENT
+}
--- a/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
@@ -33,6 +33,7 @@
  * State shared by the parts of a leader. Used on the control thread only.
  *
  * @param nowMs time of passes when the term begins
+ * @param emit adds an event to the pass; ends of runs go through [endRun]
  */
 internal class LeaderContext(
     val term: Long,
@@ -40,7 +41,8 @@
     val dependencies: LeaderDependencies,
     val decisions: DecisionLog,
     nowMs: Long,
-    val emit: (Pass, StagedEvent) -> Unit
+    val emit: (Pass, StagedEvent) -> Unit,
+    val endRun: (Pass, StagedEvent.RunEnded, EndEvidence) -> Unit
 ) {
     private var retired = false
 
--- a/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
@@ -46,7 +46,8 @@
 
     private fun endUnsent(taskId: StageTaskId, number: Int) {
         context.submit { pass ->
-            context.emit(pass, StagedEvent.RunEnded(taskId, number, RunResult.NEVER_RAN))
+            val end = StagedEvent.RunEnded(taskId, number, RunResult.NEVER_RAN)
+            context.endRun(pass, end, EndEvidence.NOT_SENT)
         }
     }
 
@@ -68,7 +69,7 @@
                 if (order.tries > 1) {
                     resolveRepeated(pass, link, run, result.refusal)
                 } else {
-                    endAsNeverRan(pass, start)
+                    endAsNeverRan(pass, start, EndEvidence.ORDER_REFUSED)
                 }
             }
             StartResult.NotSent -> {
@@ -77,7 +78,7 @@
                 if (mayHaveBeenSentBefore) {
                     context.requestStop(start.taskId, run.placement)
                 } else {
-                    endAsNeverRan(pass, start)
+                    endAsNeverRan(pass, start, EndEvidence.NOT_SENT)
                 }
             }
             StartResult.OtherBoot -> registry.removeWorker(
@@ -120,8 +121,10 @@
         }
     }
 
-    private fun endAsNeverRan(pass: Pass, start: StartOrder) =
-        context.emit(pass, StagedEvent.RunEnded(start.taskId, start.run, RunResult.NEVER_RAN))
+    private fun endAsNeverRan(pass: Pass, start: StartOrder, evidence: EndEvidence) {
+        val end = StagedEvent.RunEnded(start.taskId, start.run, RunResult.NEVER_RAN)
+        context.endRun(pass, end, evidence)
+    }
 
     /** Repeating an order is safe: the worker starts a run number only once. */
     private fun unanswered(link: WorkerLink, start: StartOrder, order: StartDraft, reason: String) {
--- a/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
@@ -68,7 +68,9 @@
                 link.reachable = false
                 link.reportFailures++
                 link.reportDueMs = context.timing.retryDueMs(link.reportFailures, pass.nowMs)
-                if (link.leaving) registry.removeWorker(pass, link, "left and does not answer")
+                if (link.leaving && link.held.isEmpty()) {
+                    registry.removeWorker(pass, link, "left and does not answer")
+                }
             }
         }
     }
@@ -88,7 +90,7 @@
         val reconciled = reconcileReport(link.held, report, askedAtMs, link.decidedEnd, nowMs)
         reconciled.held.values.forEach(link::update)
         reconciled.events.forEach { recordResult(link, it, nowMs) }
-        reconciled.events.forEach { context.emit(pass, it) }
+        reconciled.events.forEach { context.endRun(pass, it, EndEvidence.REPORTED) }
         reconciled.unexpected.forEach { stopUnexpected(link, it) }
         link.decidedEnd = reconciled.lastEnd
         if (reconciled.lastEnd > link.acknowledgedEnd) {
@@ -141,7 +143,7 @@
                     link.worker.workerId,
                     link.held.size
                 )
-                registry.interruptAll(pass, link)
+                registry.interruptAll(pass, link, EndEvidence.LEASE_EXPIRED)
             }
             val silentMs = pass.nowMs - link.heardMs
             if (silentMs > context.settings.silentForgetMs || link.worker.address.isEmpty()) {
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -32,7 +32,8 @@
     decisions: DecisionLog,
     nowMs: Long
 ) {
-    private val context = LeaderContext(term, settings, dependencies, decisions, nowMs, ::emit)
+    private val context =
+        LeaderContext(term, settings, dependencies, decisions, nowMs, ::emit, ::endRun)
     private val links get() = context.links
     private val registry = WorkerRegistry(context)
     private val placement = StepPlacement(context)
@@ -83,7 +84,6 @@
 
     /** Adds [event] to the pass and updates the indexes of this leader. */
     fun emit(pass: Pass, event: StagedEvent) {
-        if (event is StagedEvent.RunEnded) return emitEnd(pass, event)
         pass.emit(Event.Staged(event))
         when (event) {
             is StagedEvent.JobAccepted -> placement.refresh(pass.state.staged, event.spec.jobId)
@@ -97,22 +97,27 @@
         }
     }
 
-    private fun emitEnd(pass: Pass, event: StagedEvent.RunEnded) {
+    private fun endRun(pass: Pass, event: StagedEvent.RunEnded, evidence: EndEvidence) {
         val jobId = event.taskId.stepId.jobId
         val outcomeBefore = pass.state.staged.job(jobId)?.outcome
         val placed = pass.state.staged.task(event.taskId)?.placement
         pass.emit(Event.Staged(event))
-        logEnd(pass, event, outcomeBefore)
+        logEnd(pass, event, evidence, outcomeBefore)
         if (placed?.run == event.run) links[placed.workerId]?.release(event.taskId)
         placement.refresh(pass.state.staged, jobId)
         stopUnwanted(pass.state.staged, jobId)
     }
 
-    private fun logEnd(pass: Pass, event: StagedEvent.RunEnded, outcomeBefore: JobOutcome?) {
+    private fun logEnd(
+        pass: Pass,
+        event: StagedEvent.RunEnded,
+        evidence: EndEvidence,
+        outcomeBefore: JobOutcome?
+    ) {
         val jobId = event.taskId.stepId.jobId
         val minor = event.result == RunResult.SUCCEEDED
         context.decisions.line(pass.nowMs, jobId, minor) {
-            "run ${event.run} of ${event.taskId}: ${event.result}"
+            "run ${event.run} of ${event.taskId}: ${event.result}, ${evidence.name.lowercase()}"
         }
         val job = pass.state.staged.job(jobId) ?: return
         if (job.outcome != null && outcomeBefore == null) {
@@ -145,6 +150,7 @@
     fun decide(pass: Pass) {
         val startNanos = System.nanoTime()
         reports.expireLeases(pass)
+        registry.answerLeaves(pass)
         stuck.moveStuck(pass)
         beginOccurrences(pass)
         forget(pass)
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerLink.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerLink.kt
@@ -34,6 +34,9 @@
     /** When the worker last listed its runs. */
     var reportedMs = 0L
     var leaving = false
+
+    /** Whether the worker itself reported that it drains. */
+    var drainReported = worker.draining
     var suspectUntilMs = 0L
     var failuresInRow = 0
 
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
@@ -10,6 +10,8 @@
 
 /** Adds and removes the workers of a leader. */
 internal class WorkerRegistry(private val context: LeaderContext) {
+    private val leaves = mutableListOf<Leave>()
+
     /** Handles a worker's registration; [onDurable] runs once it is durable. */
     fun workerRegistered(pass: Pass, registration: WorkerRegistration, onDurable: () -> Unit) {
         val worker = registration.worker
@@ -33,6 +35,7 @@
             else -> {
                 link.heardMs = nowMs
                 link.sequence = registration.sequence
+                link.drainReported = worker.draining
                 // A leave notice has no boot, so it may be a late one of an earlier process.
                 if (!worker.draining) link.leaving = false
                 if (known != worker) {
@@ -56,15 +59,20 @@
         }.forEach { removeWorker(pass, it, "its address belongs to ${worker.workerId}") }
         val link = WorkerLink(worker, pass.nowMs + context.settings.leaseExpiryMs, pass.nowMs)
         link.sequence = registration.sequence
+        link.drainReported = worker.draining
         context.links[worker.workerId] = link
         context.emit(pass, StagedEvent.WorkerRegistered(worker))
         log.info("worker {} boot {} joins at {}", worker.workerId, worker.boot, worker.address)
     }
 
-    /** Handles a leave notice: the worker drains, and is removed once it no longer answers. */
+    /**
+     * Handles a leave notice. The worker ends with the answer, and its runs with it, so that only
+     * the lease would show their end: they are stopped before, which also saves checkpoints. A
+     * worker that doesn't list the ends in time is answered anyway and keeps its runs.
+     */
     fun workerLeaves(pass: Pass, workerId: String, onDurable: () -> Unit) {
-        val link = context.links[workerId]
-        if (link != null && !link.leaving) {
+        val link = context.links[workerId] ?: return pass.whenDurable(onDurable)
+        if (!link.leaving) {
             link.leaving = true
             val draining = link.worker.copy(draining = true)
             if (link.worker != draining) {
@@ -72,10 +80,23 @@
                 context.emit(pass, StagedEvent.WorkerRegistered(draining))
             }
         }
-        pass.whenDurable(onDurable)
+        // A leave notice has no boot: that of an earlier process must not stop any runs.
+        if (link.drainReported) {
+            link.held.values.toList().forEach { link.update(it.copy(stopRequested = true)) }
+        }
+        leaves += Leave(link, pass.nowMs + LEAVE_ANSWER_MS, onDurable)
     }
 
-    /** Removes a worker on which nothing runs any more, and ends its runs as interrupted. */
+    /** Answers the leave notices of workers on which nothing runs, and those that are due. */
+    fun answerLeaves(pass: Pass) {
+        val due = leaves.filter { leave ->
+            leave.link.held.isEmpty() || !leave.link.drainReported || pass.nowMs >= leave.dueMs
+        }
+        due.forEach { pass.whenDurable(it.onDurable) }
+        leaves -= due.toSet()
+    }
+
+    /** Removes a worker and ends the runs that it still has as interrupted. */
     fun removeWorker(pass: Pass, link: WorkerLink, reason: String) {
         val worker = link.worker
         log.info(
@@ -85,23 +106,28 @@
             link.held.size,
             reason
         )
-        interruptAll(pass, link)
+        interruptAll(pass, link, EndEvidence.REPLACED)
         context.links.remove(worker.workerId, link)
         context.emit(pass, StagedEvent.WorkerLeft(worker.workerId, worker.boot))
     }
 
     /** Ends the runs of a worker on which nothing runs any more, as interrupted. */
-    fun interruptAll(pass: Pass, link: WorkerLink) {
+    fun interruptAll(pass: Pass, link: WorkerLink, evidence: EndEvidence) {
         link.held.values.toList().forEach { run ->
-            val result = RunResult.INTERRUPTED
-            context.emit(
-                pass,
-                StagedEvent.RunEnded(run.taskId, run.placement.run, result, run.checkpoint)
-            )
+            val number = run.placement.run
+            val end =
+                StagedEvent.RunEnded(run.taskId, number, RunResult.INTERRUPTED, run.checkpoint)
+            context.endRun(pass, end, evidence)
         }
     }
 
+    /** A leave notice that is not answered yet. */
+    private class Leave(val link: WorkerLink, val dueMs: Long, val onDurable: () -> Unit)
+
     private companion object {
+        /** A worker that gets no answer within a second asks another control host. */
+        const val LEAVE_ANSWER_MS = 600L
+
         /** Clocks may differ by seconds. A later start would outdate each true one of that id. */
         const val MAX_BOOT_AHEAD_MS = 86_400_000L
     }
--- a/src/test/kotlin/dev/jackdawdale/push/StagedControlFixture.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/StagedControlFixture.kt
@@ -8,19 +8,31 @@
 import dev.jackdawdale.model.EventBatch
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.model.apply
+import dev.jackdawdale.staged.PushWorker
+import dev.jackdawdale.staged.StageTaskId
 import dev.jackdawdale.staged.StagedEvent
 
 private const val PASS_MS = 20L
 
 /**
  * The staged jobs of a process that can become leader and lose leadership, starting from the state
- * after [events]. Its worker reports no runs. The test runs the passes and answers start orders.
+ * after [events]. The test runs the passes and answers start orders.
+ *
+ * @param report answers of the workers to requests for a report; they list no runs by default
+ * @param stop answers of the workers to stop orders, or null for none
  */
 internal class StagedControlFixture(
     events: List<StagedEvent>,
-    adviceHosts: Set<HostId> = emptySet()
+    adviceHosts: Set<HostId> = emptySet(),
+    private val report: (PushWorker, nowMs: Long) -> ReportResult = { _, nowMs ->
+        ReportResult.Reported(RunReport(1, nowMs, emptyList(), emptyList()))
+    },
+    private val stop: (PushWorker, StageTaskId, run: Int) -> StopResult? = { _, _, _ -> null }
 ) {
     val starts = ArrayList<StartOrder>()
+
+    /** Ids of the workers that got the orders in [starts]. */
+    val startedOn = ArrayList<String>()
     val startResults = ArrayList<(StartResult) -> Unit>()
     val adviceCalls = ArrayList<AdviceCall>()
     private var nowMs = 100_000L
@@ -30,15 +42,15 @@
         PushSettings(),
         LeaderDependencies(
             WorkerClient(
-                start = { _, order, onResult ->
+                start = { worker, order, onResult ->
                     starts += order
+                    startedOn += worker.workerId
                     startResults += onResult
                 },
-                stop = { _, _, _, _, _ -> },
-                report = { _, _, onResult ->
-                    val report = RunReport(1, nowMs, emptyList(), emptyList())
-                    onResult(ReportResult.Reported(report))
-                }
+                stop = { worker, taskId, run, _, onResult ->
+                    stop(worker, taskId, run)?.let(onResult)
+                },
+                report = { worker, _, onResult -> onResult(report(worker, nowMs)) }
             ),
             submit = { actions += it },
             quorumHeardMs = { nowMs },
