End runs only by their own process's word or its expired lease

An entry of another writer with the address of a worker was taken in; its task started elsewhere while it went on.

Cause: four paths took the word of another process for the end of a run: a registration of another id at the address, one of a later start under the id, a report of a later start, and an answer of another process to a report, a start or a stop. Each removed the worker and ended its runs as interrupted.

Ruled out: the decoder. The entry is well formed.

Change: these paths keep the runs. Another id at the address joins beside the worker, which is asked and answers for itself. A later process under the same id takes the runs over: they are stopped there, since a repeated order for the earlier process may still arrive, and end no sooner than the earlier lease. A new leader tells them by the start time in their placement. The answer of an address that the worker has left shows nothing.

Evidence: on the code before, 6 of the 8 rows of RunEvidenceTest fail (starts on w2 while w1 holds its lease). Green with the change: the tests of push.

--- a/src/main/kotlin/dev/jackdawdale/push/EndEvidence.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/EndEvidence.kt
@@ -3,7 +3,8 @@
 /**
  * What shows that a run has ended, or never starts.
  *
- * A failed call shows nothing: the worker may be cut off, and works on under its lease.
+ * A failed call, another process at the worker's address and another process under its id show
+ * nothing about the process that has the run: it may be cut off, and works on under its lease.
  */
 internal enum class EndEvidence {
     /** The worker's process listed the end, or no longer lists the run and can't start it. */
@@ -12,9 +13,6 @@
     /** The lease of the worker's process has expired, so it has ended all its runs. */
     LEASE_EXPIRED,
 
-    /** Another process has the worker's id or address. */
-    REPLACED,
-
     /** The only order for the run was refused. */
     ORDER_REFUSED,
 
--- a/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
@@ -12,6 +12,12 @@
     /** The run was placed by an earlier leader. */
     data object Inherited : StartState
 
+    /**
+     * Placed on an earlier process under the worker's id, which may run it until [untilMs]. An
+     * order for that process may still reach this one.
+     */
+    data class OfEarlierProcess(val untilMs: Long) : StartState
+
     /** Sent and not confirmed; can take effect until [expiresAtMs] on the worker's clock. */
     data class Sent(val expiresAtMs: Long) : StartState
 
@@ -19,6 +25,17 @@
     data class Confirmed(val atMs: Long) : StartState
 }
 
+/** The run at a process that has the id of the one on which it was placed. */
+internal fun HeldRun.ofEarlierProcess(leasedUntilMs: Long): HeldRun {
+    val earlierMs = (start as? StartState.OfEarlierProcess)?.untilMs ?: 0
+    return copy(
+        start = StartState.OfEarlierProcess(maxOf(earlierMs, leasedUntilMs)),
+        stopRequested = true,
+        stopSentMs = null,
+        stopAcceptedMs = null
+    )
+}
+
 /**
  * A run that occupies capacity on a worker.
  *
--- a/src/main/kotlin/dev/jackdawdale/push/Reconciliation.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/Reconciliation.kt
@@ -48,9 +48,9 @@
         val end = ended[taskId to number]
         val listed = running[taskId]?.takeIf { it.run == number }
         when {
-            end != null -> events += endOf(run, end)
+            end != null && run.endsWith(end, nowMs) -> events += endOf(run, end)
             listed != null -> remaining[taskId] = run.confirmed(listed, nowMs)
-            !report.hasMoreEnds && run.cannotStart(report.clockMs, askedAtMs) ->
+            !report.hasMoreEnds && run.cannotStart(report.clockMs, askedAtMs, nowMs) ->
                 events += StagedEvent.RunEnded(taskId, number, run.resultUnlisted, run.checkpoint)
             else -> remaining[taskId] = run
         }
@@ -60,7 +60,14 @@
 }
 
 private val HeldRun.resultUnlisted: RunResult
-    get() = if (start is StartState.Confirmed) RunResult.INTERRUPTED else RunResult.NEVER_RAN
+    get() = when (start) {
+        is StartState.Confirmed, is StartState.OfEarlierProcess -> RunResult.INTERRUPTED
+        else -> RunResult.NEVER_RAN
+    }
+
+/** Whether a listed end ends the run; an earlier process may have the same run. */
+private fun HeldRun.endsWith(end: EndedRun, nowMs: Long): Boolean =
+    start !is StartState.OfEarlierProcess || end.end == ListedEnd.DONE || nowMs > start.untilMs
 
 private fun endOf(run: HeldRun, end: EndedRun) = StagedEvent.RunEnded(
     run.taskId,
@@ -74,17 +81,21 @@
 )
 
 private fun HeldRun.confirmed(listed: ListedRun, nowMs: Long): HeldRun = copy(
-    start = start as? StartState.Confirmed ?: StartState.Confirmed(nowMs),
+    start = when (start) {
+        is StartState.Confirmed, is StartState.OfEarlierProcess -> start
+        else -> StartState.Confirmed(nowMs)
+    },
     checkpoint = listed.checkpoint.ifEmpty { checkpoint },
     percent = listed.percent,
     progressMs = if (listed.percent != percent) nowMs else progressMs
 )
 
-private fun HeldRun.cannotStart(workerClockMs: Long, askedAtMs: Long): Boolean {
+private fun HeldRun.cannotStart(workerClockMs: Long, askedAtMs: Long, nowMs: Long): Boolean {
     val stopped = stopAcceptedMs?.let { askedAtMs >= it } ?: false
     return when (start) {
         StartState.Unsent -> false
         StartState.Inherited -> true
+        is StartState.OfEarlierProcess -> stopped && nowMs > start.untilMs
         is StartState.Sent -> stopped || workerClockMs > start.expiresAtMs
         is StartState.Confirmed -> stopped || askedAtMs > start.atMs
     }
--- a/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
@@ -81,11 +81,10 @@
                     endAsNeverRan(pass, start, EndEvidence.NOT_SENT)
                 }
             }
-            StartResult.OtherBoot -> registry.removeWorker(
-                pass,
-                link,
-                "another boot refused an order"
-            )
+            StartResult.OtherBoot -> {
+                registry.anotherAnswered(pass, link)
+                if (order.tries == 1) endAsNeverRan(pass, start, EndEvidence.ORDER_REFUSED)
+            }
             is StartResult.Unknown -> unanswered(link, start, order, result.reason)
         }
     }
@@ -181,11 +180,7 @@
             StopResult.ACCEPTED -> link.runOf(taskId, number)?.let {
                 link.update(it.copy(stopAcceptedMs = it.stopAcceptedMs ?: pass.nowMs))
             }
-            StopResult.OTHER_BOOT -> registry.removeWorker(
-                pass,
-                link,
-                "another boot refused a stop"
-            )
+            StopResult.OTHER_BOOT -> registry.anotherAnswered(pass, link)
             StopResult.UNKNOWN -> Unit
         }
     }
--- a/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
@@ -59,15 +59,18 @@
         link.reportInFlight = false
         when (result) {
             is ReportResult.Reported -> applyReport(pass, link, result.report, askedAtMs)
-            ReportResult.OtherBoot -> registry.removeWorker(pass, link, "another boot answers")
+            ReportResult.OtherBoot -> {
+                retryReport(link, pass.nowMs)
+                // The worker may have moved since the request.
+                if (worker.address == link.worker.address) registry.anotherAnswered(pass, link)
+            }
             is ReportResult.Failed -> {
                 if (link.reachable) {
                     log.warn("worker {} did not report: {}", worker.workerId, result.reason)
                     context.timing.callLost(pass.nowMs)
                 }
                 link.reachable = false
-                link.reportFailures++
-                link.reportDueMs = context.timing.retryDueMs(link.reportFailures, pass.nowMs)
+                retryReport(link, pass.nowMs)
                 if (link.leaving && link.held.isEmpty()) {
                     registry.removeWorker(pass, link, "left and does not answer")
                 }
@@ -75,10 +78,23 @@
         }
     }
 
+    private fun retryReport(link: WorkerLink, nowMs: Long) {
+        link.reportFailures++
+        link.reportDueMs = context.timing.retryDueMs(link.reportFailures, nowMs)
+    }
+
     private fun applyReport(pass: Pass, link: WorkerLink, report: RunReport, askedAtMs: Long) {
         val nowMs = pass.nowMs
-        if (report.boot != null && report.boot != link.worker.boot) {
-            return registry.removeWorker(pass, link, "boot ${report.boot} answers")
+        val boot = report.boot ?: link.worker.boot
+        if (boot < link.worker.boot || registry.isTooFarAhead(boot, nowMs)) {
+            retryReport(link, nowMs)
+            return registry.anotherAnswered(pass, link)
+        }
+        if (boot > link.worker.boot) {
+            // Gets no runs before it registers with its own capacity.
+            val later = link.worker.copy(boot = boot, draining = true)
+            val next = registry.replaceProcess(pass, link, later)
+            return applyReport(pass, next, report, askedAtMs)
         }
         link.readClock(report.clockMs, nowMs)
         link.reachable = true
@@ -143,7 +159,7 @@
                     link.worker.workerId,
                     link.held.size
                 )
-                registry.interruptAll(pass, link, EndEvidence.LEASE_EXPIRED)
+                registry.interruptAll(pass, link)
             }
             val silentMs = pass.nowMs - link.heardMs
             if (silentMs > context.settings.silentForgetMs || link.worker.address.isEmpty()) {
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -57,7 +57,9 @@
                     progressMs = nowMs,
                     resumed = true
                 )
-                linkFor(placement, leasedUntilMs, nowMs).hold(run)
+                val link = linkFor(placement, leasedUntilMs, nowMs)
+                val isOfProcess = link.worker.boot == placement.workerBoot
+                link.hold(if (isOfProcess) run else run.ofEarlierProcess(leasedUntilMs))
             }
             placement.refresh(state, job.spec.jobId)
             stopUnwanted(state, job.spec.jobId)
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
@@ -19,18 +19,17 @@
         val known = link?.worker
         val nowMs = pass.nowMs
         when {
-            worker.boot > nowMs + MAX_BOOT_AHEAD_MS -> log.warn(
+            isTooFarAhead(worker.boot, nowMs) -> log.warn(
                 "ignores a registration of {}, which would have started at {}",
                 worker.workerId,
                 worker.boot
             )
-            isSuperseded(worker) -> Unit
-            known == null -> join(pass, registration)
-            worker.boot < known.boot -> Unit
-            worker.boot > known.boot -> {
-                removeWorker(pass, link, "a new boot ${worker.boot} reported itself")
-                join(pass, registration)
+            known == null -> if (!isOutdated(worker)) {
+                addLink(pass, worker).sequence = registration.sequence
             }
+            worker.boot < known.boot -> Unit
+            worker.boot > known.boot ->
+                replaceProcess(pass, link, worker).sequence = registration.sequence
             registration.sequence <= link.sequence -> Unit
             else -> {
                 link.heardMs = nowMs
@@ -47,22 +46,60 @@
         pass.whenDurable(onDurable)
     }
 
-    /** Whether a process that started later has the same address. */
-    private fun isSuperseded(worker: PushWorker): Boolean = context.links.values.any {
+    /** Whether a process that started later has the address of this unknown one. */
+    private fun isOutdated(worker: PushWorker): Boolean = context.links.values.any {
         it.worker.address == worker.address && it.worker.boot > worker.boot
     }
 
-    private fun join(pass: Pass, registration: WorkerRegistration) {
-        val worker = registration.worker
-        context.links.values.filter {
-            it.worker.address == worker.address && it.worker.boot < worker.boot
-        }.forEach { removeWorker(pass, it, "its address belongs to ${worker.workerId}") }
+    private fun addLink(pass: Pass, worker: PushWorker): WorkerLink {
         val link = WorkerLink(worker, pass.nowMs + context.settings.leaseExpiryMs, pass.nowMs)
-        link.sequence = registration.sequence
-        link.drainReported = worker.draining
         context.links[worker.workerId] = link
         context.emit(pass, StagedEvent.WorkerRegistered(worker))
         log.info("worker {} boot {} joins at {}", worker.workerId, worker.boot, worker.address)
+        return link
+    }
+
+    /**
+     * Replaces the process of a worker by a later one under the same id, to which it also hands the
+     * runs of the earlier one: they are stopped there, as an order for the earlier process may
+     * still reach it, and end no sooner than the earlier process's lease.
+     */
+    fun replaceProcess(pass: Pass, link: WorkerLink, worker: PushWorker): WorkerLink {
+        log.info(
+            "worker {} boot {} is followed by boot {}, with {} runs",
+            worker.workerId,
+            link.worker.boot,
+            worker.boot,
+            link.held.size
+        )
+        val (unsent, sent) = link.held.values.partition { it.start == StartState.Unsent }
+        unsent.forEach { run ->
+            val end =
+                StagedEvent.RunEnded(run.taskId, run.placement.run, RunResult.NEVER_RAN)
+            context.endRun(pass, end, EndEvidence.NOT_SENT)
+        }
+        val next = addLink(pass, worker)
+        sent.forEach { next.hold(it.ofEarlierProcess(link.leasedUntilMs)) }
+        return next
+    }
+
+    /**
+     * Handles an answer that another process gave at the worker's address. It doesn't show that
+     * the worker's process has ended, so its runs remain until its lease expires.
+     */
+    fun anotherAnswered(pass: Pass, link: WorkerLink) {
+        if (link.held.isEmpty()) return removeWorker(pass, link, "another process answers")
+        if (link.reachable) {
+            log.warn(
+                "another process answers at {} for worker {} boot {}, which has {} runs until {}",
+                link.worker.address,
+                link.worker.workerId,
+                link.worker.boot,
+                link.held.size,
+                link.leasedUntilMs
+            )
+        }
+        link.reachable = false
     }
 
     /**
@@ -96,39 +133,35 @@
         leaves -= due.toSet()
     }
 
-    /** Removes a worker and ends the runs that it still has as interrupted. */
+    /** Removes a worker without runs. */
     fun removeWorker(pass: Pass, link: WorkerLink, reason: String) {
         val worker = link.worker
-        log.info(
-            "worker {} boot {} is gone with {} runs: {}",
-            worker.workerId,
-            worker.boot,
-            link.held.size,
-            reason
-        )
-        interruptAll(pass, link, EndEvidence.REPLACED)
+        log.info("worker {} boot {} is gone: {}", worker.workerId, worker.boot, reason)
         context.links.remove(worker.workerId, link)
         context.emit(pass, StagedEvent.WorkerLeft(worker.workerId, worker.boot))
     }
 
-    /** Ends the runs of a worker on which nothing runs any more, as interrupted. */
-    fun interruptAll(pass: Pass, link: WorkerLink, evidence: EndEvidence) {
+    /** Ends the runs of a worker whose lease has expired, as interrupted. */
+    fun interruptAll(pass: Pass, link: WorkerLink) {
         link.held.values.toList().forEach { run ->
             val number = run.placement.run
             val end =
                 StagedEvent.RunEnded(run.taskId, number, RunResult.INTERRUPTED, run.checkpoint)
-            context.endRun(pass, end, evidence)
+            context.endRun(pass, end, EndEvidence.LEASE_EXPIRED)
         }
     }
 
     /** A leave notice that is not answered yet. */
     private class Leave(val link: WorkerLink, val dueMs: Long, val onDurable: () -> Unit)
 
+    /** Whether a start time is no worker's. It would outdate each true one of that id. */
+    fun isTooFarAhead(boot: Long, nowMs: Long): Boolean = boot > nowMs + MAX_BOOT_AHEAD_MS
+
     private companion object {
         /** A worker that gets no answer within a second asks another control host. */
         const val LEAVE_ANSWER_MS = 600L
 
-        /** Clocks may differ by seconds. A later start would outdate each true one of that id. */
+        /** Clocks may differ by seconds. */
         const val MAX_BOOT_AHEAD_MS = 86_400_000L
     }
 }
--- a/src/test/kotlin/dev/jackdawdale/push/ReconciliationTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/ReconciliationTest.kt
@@ -76,6 +76,21 @@
                     "placed by an earlier leader",
                     held(StartState.Inherited),
                     RunResult.NEVER_RAN
+                ),
+                AbsentCase(
+                    "of an earlier process, its order may still arrive here",
+                    held(StartState.OfEarlierProcess(NOW_MS - 1)),
+                    null
+                ),
+                AbsentCase(
+                    "of an earlier process, whose lease holds",
+                    held(StartState.OfEarlierProcess(NOW_MS), stopAcceptedMs = ASKED_AT_MS),
+                    null
+                ),
+                AbsentCase(
+                    "of an earlier process, whose lease has expired",
+                    held(StartState.OfEarlierProcess(NOW_MS - 1), stopAcceptedMs = ASKED_AT_MS),
+                    RunResult.INTERRUPTED
                 )
             ) { case ->
                 val reconciled = reconcile(case.run, report())
--- a/src/test/kotlin/dev/jackdawdale/push/RunEvidenceTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/RunEvidenceTest.kt
@@ -13,6 +13,30 @@
     Evidence("a failed call after a leave notice") {
         leave()
         answer = silence
+    },
+    Evidence("another process that answers at the address") {
+        answer = { ReportResult.OtherBoot }
+    },
+    Evidence("a report of a later process under the same id") {
+        answer = { listed(it, boot = 2) }
+    },
+    Evidence("a later process under the same id, at another address") {
+        answer = silence
+        register(testWorker.copy(boot = 2, address = "127.0.0.1:3"))
+    },
+    Evidence("a later process under the same id, and a new leader") {
+        answer = silence
+        register(testWorker.copy(boot = 2, address = "127.0.0.1:3"))
+        cell.runPasses(2)
+        cell.loseLeadership()
+        cell.becomeLeader(term = 2)
+    },
+    Evidence("another id at the same address, where the process answers for itself") {
+        register(testWorker.copy(workerId = "w3", boot = 2))
+    },
+    Evidence("another id at the same address") {
+        answer = { ReportResult.OtherBoot }
+        register(testWorker.copy(workerId = "w3", boot = 2))
     }
 )
 
@@ -27,6 +51,22 @@
             }
         }
 
+        test(
+            "an order for an earlier process runs on under the later one, and a second run beside it"
+        ) {
+            val task = RunningTask()
+            // The later process got the repeated order, and has no lease to end it.
+            task.answer = { task.listed(it, boot = 2) }
+            task.register(testWorker.copy(boot = 2))
+            task.runFor(seconds = 6.0)
+            task.stops.toSet() shouldBe setOf(1)
+            task.cell.startedOn shouldBe listOf("w1")
+            task.stopAnswer = StopResult.ACCEPTED
+            task.answer = { task.listed(it, boot = 2, running = false) }
+            task.runFor(seconds = 1.0)
+            task.cell.starts.map { it.run } shouldBe listOf(1, 2)
+        }
+
         test("a task waits for a process that has ended, after its lease has lapsed") {
             val task = RunningTask()
             task.answer = silence
--- a/src/test/kotlin/dev/jackdawdale/push/RunningTask.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/RunningTask.kt
@@ -51,9 +51,11 @@
 
     fun runFor(seconds: Double) = cell.runPasses((seconds * PASSES_PER_S).toInt())
 
-    /** A report that lists the run as running. */
-    fun listed(nowMs: Long, boot: Long = 1): ReportResult =
-        report(nowMs, listOf(ListedRun(runningTaskId, 1, "", percent++)), boot = boot)
+    /** A report that lists the run as running, or nothing. */
+    fun listed(nowMs: Long, boot: Long = 1, running: Boolean = true): ReportResult {
+        val run = ListedRun(runningTaskId, 1, "", percent++)
+        return report(nowMs, listOfNotNull(run.takeIf { running }), boot = boot)
+    }
 
     /** A report that lists the run as stopped. */
     fun ended(nowMs: Long): ReportResult =
