Answer a repeated command by its job, also after its queue was dropped

After a cut of the entry host, during which a configuration dropped a queue, jobs that had been accepted and run were answered 404 on the only attempt.

Cause: StagedControl looked for the queue of the path before the job, so the command that the entry host sent again met the new configuration. A cancel and a query of an accepted job got 404 for the same reason, and a new queue with a longer prefix would have accepted the job a second time.

Ruled out: a lost entry of the log; the job was there at the leader and at the next one.

Change: a job is found by host and path under the terms that accepted it, before the configuration is asked. New jobs of a dropped queue still get 404, as does the queue itself. A decision line tells a repeated submit.

--- a/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
@@ -17,8 +17,10 @@
 import dev.jackdawdale.staged.StagedReply
 import dev.jackdawdale.staged.StagedState
 import dev.jackdawdale.staged.isPending
+import dev.jackdawdale.staged.isRefusedAt
 import dev.jackdawdale.staged.isValidJobId
 import dev.jackdawdale.staged.job
+import dev.jackdawdale.staged.jobAt
 import dev.jackdawdale.staged.jobIdIn
 import dev.jackdawdale.staged.problemOf
 import dev.jackdawdale.staged.queueFor
@@ -83,11 +85,18 @@
 
     private fun handle(pass: Pass, command: StagedCommand, reply: (StagedReply) -> Unit) {
         val leading = leader ?: return
-        val configuration = pass.state.staged.configuration
+        val staged = pass.state.staged
+        val configuration = staged.configuration
         val queue = configuration?.queueFor(command.host, command.path)
         val jobId = queue?.jobIdIn(command.path)
+        // A resend is answered by what became of the command, whatever has been configured since.
+        val known = staged.jobAt(command.host, command.path)
+        val isCancel = command is StagedCommand.Cancel
         val answer = when {
+            known != null && isCancel -> cancel(pass, leading, known.spec.jobId)
+            known != null -> repeated(pass, known)
             configuration == null -> StagedReply.NotConfigured
+            queue == null && isCancel && staged.isRefusedAt(command.path) -> StagedReply.NoSuchJob
             queue == null -> StagedReply.NoSuchQueue
             jobId == null -> StagedReply.Malformed("the path names no job")
             !isValidJobId(jobId) ->
@@ -105,8 +114,7 @@
         jobId: String,
         command: StagedCommand.Submit
     ): StagedReply {
-        val known = pass.state.staged.job(jobId)
-        if (known != null) return StagedReply.Job(jobId, known.progress)
+        pass.state.staged.job(jobId)?.let { return repeated(pass, it) }
         val spec =
             StagedJobSpec(jobId, queue.name, command.payload, command.steps, command.schedule)
         problemOf(spec.steps, spec.schedule)?.let { return StagedReply.Malformed(it) }
@@ -118,6 +126,14 @@
         return StagedReply.Job(jobId, JobProgress.QUEUED)
     }
 
+    private fun repeated(pass: Pass, known: StagedJob): StagedReply {
+        val jobId = known.spec.jobId
+        decisions.line(pass.nowMs, jobId, minor = true) {
+            "submitted again, ${known.progress}, accepted ${pass.nowMs - known.acceptedAtMs} ms ago"
+        }
+        return StagedReply.Job(jobId, known.progress)
+    }
+
     private fun cancel(pass: Pass, leading: StagedLeader, jobId: String): StagedReply {
         val known = pass.state.staged.job(jobId)
         if (known?.outcome == null) leading.emit(pass, StagedEvent.JobCancelled(jobId))
@@ -127,6 +143,9 @@
     }
 
     private fun answer(state: StagedState, query: StagedQuery): StagedReply {
+        state.jobAt(query.host, query.path)?.let {
+            return StagedReply.Job(it.spec.jobId, it.progress)
+        }
         val configuration = state.configuration ?: return StagedReply.NotConfigured
         val queue = configuration.queueFor(query.host, query.path)
             ?: return StagedReply.NoSuchQueue
--- a/src/main/kotlin/dev/jackdawdale/staged/JobLimits.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/JobLimits.kt
@@ -7,9 +7,10 @@
 private const val MAX_TASKS_PER_JOB = 10_000
 private const val MAX_STEPS = 256
 private const val MAX_OCCURRENCES = 1_000_000
+internal const val MAX_JOB_ID_CHARS = 128
 
 /** The id is part of the names of tasks, whose parts are separated by dots. */
-private val jobIdPattern = Regex("[A-Za-z0-9_-]{1,128}")
+private val jobIdPattern = Regex("[A-Za-z0-9_-]{1,$MAX_JOB_ID_CHARS}")
 
 /** Whether a job may have this id. */
 internal fun isValidJobId(id: String): Boolean = jobIdPattern.matches(id)
--- a/src/main/kotlin/dev/jackdawdale/staged/StagedState.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/StagedState.kt
@@ -131,6 +131,24 @@
 /** The job [jobId], active or ended. */
 fun StagedState.job(jobId: String): StagedJob? = active[jobId] ?: ended[jobId]
 
+/**
+ * The job that callers address as [path] on [host], by the queue that accepted it. The queue may
+ * have been changed or dropped since.
+ */
+fun StagedState.jobAt(host: String, path: String): StagedJob? = idsIn(path).firstNotNullOfOrNull {
+    val terms = job(it)?.terms
+    job(it).takeIf { _ -> terms?.host == host && terms.pathPrefix + it == path }
+}
+
+/** Whether the job at [path] was cancelled before it arrived, so that it never runs. */
+fun StagedState.isRefusedAt(path: String): Boolean = idsIn(path).any { it in refusedIds }
+
+/** The ids that [path] may end with, longest first: where its prefix ends, only a queue tells. */
+private fun idsIn(path: String): Sequence<String> {
+    val from = maxOf(path.lastIndexOf('/') + 1, path.length - MAX_JOB_ID_CHARS)
+    return (from until path.length).asSequence().map(path::substring)
+}
+
 /** The step [id], or null when the occurrence has not begun or there is no such step. */
 fun StagedJob.step(id: StepId): StageStep? =
     occurrences.find { it.number == id.occurrence }?.steps?.getOrNull(id.step)
--- a/src/test/kotlin/dev/jackdawdale/push/StagedControlFixture.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/StagedControlFixture.kt
@@ -11,6 +11,8 @@
 import dev.jackdawdale.staged.PushWorker
 import dev.jackdawdale.staged.StageTaskId
 import dev.jackdawdale.staged.StagedEvent
+import dev.jackdawdale.staged.StagedQuery
+import dev.jackdawdale.staged.StagedReply
 
 private const val PASS_MS = 20L
 
@@ -76,6 +78,8 @@
         actions += { pass -> control.action(pass) }
     }
 
+    fun query(query: StagedQuery): StagedReply = control.extension.answer(state, query)
+
     fun runPasses(count: Int) = repeat(count) {
         nowMs += PASS_MS
         val pass = Pass(state, softState(state, nowMs, ControlSettings()), nowMs)
