Read each body to its end as strict JSON before any of it is used

Configurations with a damaged byte, which are no JSON, were acknowledged, came into force and were given back.

Cause: a tree of kotlinx.serialization was taken for a check of the text. It accepts any word without quotes as a value; only the typed readers refuse one, and they read some of the fields. Bodies of jobs, registrations, run lists, advice and of the product's own calls were read in the same way.

Ruled out: damage on the way or in the log; the text is kept byte for byte.

Fields of services and limits that are only kept are checked for their types.

--- a/src/main/kotlin/dev/jackdawdale/entry/Json.kt
+++ b/src/main/kotlin/dev/jackdawdale/entry/Json.kt
@@ -1,6 +1,7 @@
 package dev.jackdawdale.entry
 
-import dev.jackdawdale.codec.jsonBoundsProblem
+import dev.jackdawdale.codec.NotJson
+import dev.jackdawdale.codec.jsonText
 import dev.jackdawdale.model.Refusal
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.MissingFieldException
@@ -25,13 +26,10 @@
 private fun String.toSnakeCase(): String = replace(capital) { "_${it.value.lowercase()}" }
 
 /** Decodes the body of a call; the error of a malformed body names the field where it can. */
-internal fun <T> HttpCall.decodeBody(serializer: KSerializer<T>): T {
-    jsonBoundsProblem(body)?.let { throw badRequest("malformed_json", it) }
-    return decodeWithin(serializer)
-}
-
-private fun <T> HttpCall.decodeWithin(serializer: KSerializer<T>): T = try {
-    httpJson.decodeFromString(serializer, body.decodeToString(throwOnInvalidSequence = true))
+internal fun <T> HttpCall.decodeBody(serializer: KSerializer<T>): T = try {
+    httpJson.decodeFromString(serializer, jsonText(body))
+} catch (e: NotJson) {
+    throw badRequest("malformed_json", problemOf(e))
 } catch (e: MissingFieldException) {
     val names = e.missingFields.joinToString(", ") { it.toSnakeCase() }
     throw badRequest("malformed_json", "missing fields: $names")
@@ -39,8 +37,6 @@
     throw badRequest("malformed_json", problemOf(e))
 } catch (e: IllegalArgumentException) {
     throw badRequest("malformed_json", problemOf(e))
-} catch (_: CharacterCodingException) {
-    throw badRequest("malformed_json", "the body is not UTF-8")
 }
 
 private fun problemOf(e: Exception): String {
--- a/src/main/kotlin/dev/jackdawdale/platform/WireConfiguration.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireConfiguration.kt
@@ -13,7 +13,7 @@
  */
 internal fun decodeConfiguration(bytes: ByteArray): QueueConfiguration {
     val fields = wireObject(bytes)
-    val services = fields.array("services").map { it.asObject("services").text("name") }
+    val services = fields.array("services").map { serviceName(it.asObject("services")) }
     val queues = fields.array("routes").map { queue(it.asObject("routes")) }
     for (queue in queues) {
         if (queue.service !in services) {
@@ -27,12 +27,26 @@
     if (queues.distinctBy { it.name }.size < queues.size) {
         throw MalformedBody("two routes share a name")
     }
+    fields.objectOrNull("limits")?.let(::checkLimits)
     return QueueConfiguration(fields.long("version"), bytes.decodeToString(), queues)
 }
 
 /** Times of jobs multiplied by it still fit into 64 bits. */
 private const val MAX_STRETCH = 1_000.0
 
+/** Checks also the fields of a service that no queue needs: an operator reads them back. */
+private fun serviceName(fields: JsonObject): String {
+    for (name in listOf("healthPath", "protocol")) fields.textOrNull(name)
+    for (name in listOf("tls", "rejectsOverload", "standby")) fields.flag(name)
+    fields.intOrNull("maxConnections")
+    return fields.nameText("name")
+}
+
+private fun checkLimits(fields: JsonObject) {
+    for (name in listOf("maxHeaderBytes", "maxBodyBytes")) fields.longOrNull(name)
+    for (name in listOf("headerTimeoutMs", "idleTimeoutMs")) fields.durationMsOrNull(name)
+}
+
 private fun queue(fields: JsonObject) = QueueSpec(
     name = fields.nameText("name"),
     host = fields.text("host"),
--- a/src/main/kotlin/dev/jackdawdale/platform/WireJson.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireJson.kt
@@ -1,6 +1,7 @@
 package dev.jackdawdale.platform
 
-import dev.jackdawdale.codec.jsonBoundsProblem
+import dev.jackdawdale.codec.NotJson
+import dev.jackdawdale.codec.jsonText
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
@@ -26,13 +27,12 @@
  * is nested too deeply or too large to be parsed.
  */
 internal fun wireObject(bytes: ByteArray): JsonObject {
-    jsonBoundsProblem(bytes)?.let { throw MalformedBody("not readable: $it") }
     val element = try {
-        Json.parseToJsonElement(bytes.decodeToString(throwOnInvalidSequence = true))
+        Json.parseToJsonElement(jsonText(bytes))
+    } catch (e: NotJson) {
+        throw MalformedBody("not JSON: ${e.message}", e)
     } catch (e: IllegalArgumentException) {
         throw MalformedBody("not JSON: ${e.message.orEmpty().lineSequence().first()}", e)
-    } catch (e: CharacterCodingException) {
-        throw MalformedBody("not UTF-8", e)
     }
     return element as? JsonObject ?: throw MalformedBody("not a JSON object")
 }
--- a/src/test/kotlin/dev/jackdawdale/platform/OddBodiesTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/platform/OddBodiesTest.kt
@@ -109,6 +109,31 @@
     runReport.with("\"born\":9", "\"born\":-9")
 )
 
+private val damagedValues =
+    listOf("1638x", "falsf", "15O00", "word", "'word'", "01", "+1", ".5", "1.", "NaN", "0x10", "")
+
+private val notJson = calls.flatMap { call ->
+    damagedValues.map { value ->
+        val body = call.valid.replaceFirst("{", """{"other":$value,""")
+        OddCase("${call.name}: \"$value\" as a value", call, body)
+    } + listOf(
+        OddCase("${call.name}: text after it", call, call.valid + "}"),
+        OddCase("${call.name}: two of it", call, call.valid + call.valid),
+        OddCase(
+            "${call.name}: a name twice",
+            call,
+            call.valid.replaceFirst("{", """{"other":1,"other":2,""")
+        ),
+        OddCase("${call.name}: a comma after the last field", call, call.valid.dropLast(1) + ",}")
+    )
+} + listOf(
+    configuration.with("\"limits\":{}", "\"limits\":{\"maxHeaderBytes\":\"16384\"}"),
+    configuration.with("\"limits\":{}", "\"limits\":{\"idleTimeoutMs\":false}"),
+    configuration.with("\"limits\":{}", "\"limits\":[]"),
+    configuration.with("{\"name\":\"s\"}", "{\"name\":\"s\",\"tls\":\"no\"}"),
+    configuration.with("{\"name\":\"s\"}", "{\"name\":\"s\",\"maxConnections\":-1}")
+)
+
 /** Rows that are left out; the other rows of the list hold. */
 private val oddRows = listOf(
     "run over 32 bits" to """["a.0.1.9",4294967297,"",0]""",
@@ -156,6 +181,12 @@
             }
         }
 
+        context("a body that is no JSON is decoded, as its damaged value is not read") {
+            withData(nameFn = { it.name }, notJson) { case ->
+                shouldThrow<MalformedBody> { case.call.decode(case.body.encodeToByteArray()) }
+            }
+        }
+
         test("the examples themselves are rejected") {
             calls.forEach { it.decode(it.valid.encodeToByteArray()) }
         }
