Ignore registrations of services that are not configured

Cause: a registration was compared with nothing but its own fields. Under the known id, with a higher sequence or a later start, it replaced the service of a sound worker.

Change: QueueConfiguration keeps the names of the services. A registration whose service is neither configured nor needed by a job, and isn't that of the known worker, is answered and ignored, with a decision line. Stored configurations of earlier releases name none; there the queues decide.

Evidence: without the check 2 of the 3 new rows of OddInputsTest fail (no task is placed), with it none. Tests of push, platform and staged green.

--- a/src/main/kotlin/dev/jackdawdale/platform/WireConfiguration.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireConfiguration.kt
@@ -28,7 +28,7 @@
         throw MalformedBody("two routes share a name")
     }
     fields.objectOrNull("limits")?.let(::checkLimits)
-    return QueueConfiguration(fields.long("version"), bytes.decodeToString(), queues)
+    return QueueConfiguration(fields.long("version"), bytes.decodeToString(), queues, services)
 }
 
 /** Times of jobs multiplied by it still fit into 64 bits. */
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
@@ -4,6 +4,7 @@
 import dev.jackdawdale.staged.PushWorker
 import dev.jackdawdale.staged.RunResult
 import dev.jackdawdale.staged.StagedEvent
+import dev.jackdawdale.staged.isInUse
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.push")
@@ -18,7 +19,12 @@
         val link = context.links[worker.workerId]
         val known = link?.worker
         val nowMs = pass.nowMs
+        val isOfService = worker.service == known?.service ||
+            pass.state.staged.isInUse(worker.service)
         when {
+            !isOfService -> context.decisions.line(nowMs, worker.workerId, minor = true) {
+                "ignores a registration of the unknown service ${worker.service.take(MAX_LOGGED)}"
+            }
             isTooFarAhead(worker.boot, nowMs) -> log.warn(
                 "ignores a registration of {}, which would have started at {}",
                 worker.workerId,
@@ -161,6 +167,8 @@
         /** A worker that gets no answer within a second asks another control host. */
         const val LEAVE_ANSWER_MS = 600L
 
+        const val MAX_LOGGED = 100
+
         /** Clocks may differ by seconds. */
         const val MAX_BOOT_AHEAD_MS = 86_400_000L
     }
--- a/src/main/kotlin/dev/jackdawdale/staged/QueueSpec.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/QueueSpec.kt
@@ -43,9 +43,15 @@
  *
  * @property version the highest version wins
  * @property document the original text
+ * @property services names of the worker pools; empty when stored by an earlier release
  */
 @Serializable
-data class QueueConfiguration(val version: Long, val document: String, val queues: List<QueueSpec>)
+data class QueueConfiguration(
+    val version: Long,
+    val document: String,
+    val queues: List<QueueSpec>,
+    val services: List<String> = emptyList()
+)
 
 /** The queue that takes calls for [path] on [host]: the one with the longest matching prefix. */
 fun QueueConfiguration.queueFor(host: String, path: String): QueueSpec? = queues
--- a/src/main/kotlin/dev/jackdawdale/staged/StagedState.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/StagedState.kt
@@ -149,6 +149,12 @@
     return (from until path.length).asSequence().map(path::substring)
 }
 
+/** Whether [service] is configured, or unfinished jobs need it. */
+fun StagedState.isInUse(service: String): Boolean = configuration == null ||
+    service in configuration.services ||
+    configuration.queues.any { it.service == service } ||
+    active.values.any { it.terms.service == service }
+
 /** The step [id], or null when the occurrence has not begun or there is no such step. */
 fun StagedJob.step(id: StepId): StageStep? =
     occurrences.find { it.number == id.occurrence }?.steps?.getOrNull(id.step)
--- a/src/test/kotlin/dev/jackdawdale/push/OddInputsTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/OddInputsTest.kt
@@ -1,7 +1,10 @@
 package dev.jackdawdale.push
 
 import dev.jackdawdale.model.Resources
+import dev.jackdawdale.staged.QueueConfiguration
 import dev.jackdawdale.staged.Schedule
+import dev.jackdawdale.staged.StagedCommand
+import dev.jackdawdale.staged.StagedEvent
 import dev.jackdawdale.staged.StagedJob
 import dev.jackdawdale.staged.StagedJobSpec
 import dev.jackdawdale.staged.StepSpec
@@ -34,6 +37,15 @@
     OddJob("occurrences without end", listOf(step), Schedule(0, 1, Int.MAX_VALUE))
 )
 
+private val agent = testWorker.copy(service = "metrics-agent")
+
+/** Entries of another system that describe the process of the worker. */
+private val otherServices = listOf(
+    "under another id" to WorkerRegistration(agent.copy(workerId = "agent", boot = 2), 1),
+    "under the same id" to WorkerRegistration(agent, sequence = 2),
+    "under the same id, with a later start" to WorkerRegistration(agent.copy(boot = 2), 1)
+)
+
 class OddInputsTest :
     FunSpec({
         context("a job that harms the leader is accepted") {
@@ -55,6 +67,27 @@
             StagedJob(spec, testQueue, acceptedAtMs = 0).objectiveMs() shouldBe 200 * 100
         }
 
+        context("an entry of a service that isn't configured makes a sound worker unusable") {
+            withData(nameFn = { it.first }, otherServices) { (_, entry) ->
+                val queues = listOf(testQueue)
+                val configuration = QueueConfiguration(1, "", queues, listOf(testQueue.service))
+                val cell = StagedControlFixture(listOf(StagedEvent.Configured(configuration)))
+                cell.becomeLeader(term = 1)
+                cell.submit { pass ->
+                    workerRegistered(pass, WorkerRegistration(testWorker, sequence = 1)) {}
+                }
+                cell.runPasses(2)
+                cell.submit { pass -> workerRegistered(pass, entry) {} }
+                val path = testQueue.pathPrefix + TEST_JOB
+                cell.submit { pass ->
+                    val submit = StagedCommand.Submit("host", path, "", listOf(step))
+                    extension.handle(pass, submit) {}
+                }
+                cell.runPasses(5)
+                cell.startedOn shouldBe listOf(testWorker.workerId)
+            }
+        }
+
         test("a registration that claims a later start ends the runs of a sound worker") {
             val job = acceptedJob(step)
             val cell = StagedControlFixture(listOf(job))
