Keep a run that its worker lists in a row that can't be read

Cause: a row of running tasks that can't be read was left out, and its task counted as not listed, which ends a confirmed run. A run that may be running started elsewhere.

Change: a report tells the tasks that such rows name, and the absence of a readable row shows nothing about them. The other rows hold as before.

Tests: a new case of ReconciliationTest.

--- a/src/main/kotlin/dev/jackdawdale/platform/WireWorker.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireWorker.kt
@@ -77,10 +77,18 @@
         clockMs = fields.long("clockMs"),
         running = runningRows.rows,
         ended = endedRows.rows,
-        hasMoreEnds = ended.size >= MAX_LISTED_ENDS
+        hasMoreEnds = ended.size >= MAX_LISTED_ENDS,
+        unclear = running.unclearTasks(runningRows.rows)
     )
 }
 
+/** The tasks that rows name, but for those in the rows that were [read]. */
+private fun JsonArray.unclearTasks(read: List<ListedRun>): Set<StageTaskId> {
+    if (read.size == size) return emptySet()
+    val known = read.mapTo(HashSet()) { it.taskId }
+    return readRows { it.taskId(0, "running") }.rows.filterTo(HashSet()) { it !in known }
+}
+
 private fun runningRow(row: JsonElement) = ListedRun(
     taskId = row.taskId(0, "running"),
     run = row.value(1, "running").asInt("running"),
--- a/src/main/kotlin/dev/jackdawdale/push/Reconciliation.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/Reconciliation.kt
@@ -50,6 +50,7 @@
         when {
             end != null && run.endsWith(end, nowMs) -> events += endOf(run, end)
             listed != null -> remaining[taskId] = run.confirmed(listed, nowMs)
+            taskId in report.unclear -> remaining[taskId] = run
             !report.hasMoreEnds && run.cannotStart(report.clockMs, askedAtMs, nowMs) ->
                 events += StagedEvent.RunEnded(taskId, number, run.resultUnlisted, run.checkpoint)
             else -> remaining[taskId] = run
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerClient.kt
@@ -83,13 +83,15 @@
  * A worker's running and ended runs.
  *
  * @property hasMoreEnds the worker may have further ends that are not in this report
+ * @property unclear tasks of running rows that can't be read otherwise: they may be running
  */
 internal data class RunReport(
     val boot: Long?,
     val clockMs: Long,
     val running: List<ListedRun>,
     val ended: List<EndedRun>,
-    val hasMoreEnds: Boolean = false
+    val hasMoreEnds: Boolean = false,
+    val unclear: Set<StageTaskId> = emptySet()
 )
 
 /**
--- a/src/test/kotlin/dev/jackdawdale/push/ReconciliationTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/ReconciliationTest.kt
@@ -125,6 +125,12 @@
             reconcile(run, report()).events.size shouldBe 1
         }
 
+        test("a run is ended although its worker lists it in a row that can't be read") {
+            val run = held(StartState.Confirmed(ASKED_AT_MS - 1))
+            val unclear = report().copy(unclear = setOf(task))
+            reconcile(run, unclear).events shouldBe emptyList()
+        }
+
         test("the end of an older run ends the current one") {
             val end = EndedRun(7, task, 1, ListedEnd.DONE, "")
             val run = held(StartState.Sent(WORKER_CLOCK_MS))
