Count a job as begun by its runs, not by the placement of its first task

With a full service and one unhealthy worker the queue told 0 pending jobs beside 40 that hadn't begun.

Cause: a job counted as begun for good when its first task was placed (startedAtMs), though the worker refused each order.

Change: a job has begun once a run of it is at work (confirmed, or left by an earlier leader) or has ended other than by never starting (hasRun, new in the replicated state). Pending jobs, status answers and the answers to submits and cancels read that one.

--- a/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
@@ -25,6 +25,13 @@
     data class Confirmed(val atMs: Long) : StartState
 }
 
+/** Whether the worker has confirmed the run, or may have done so to an earlier leader. */
+internal val HeldRun.mayBeAtWork: Boolean
+    get() = when (start) {
+        StartState.Unsent, is StartState.Sent -> false
+        StartState.Inherited, is StartState.Confirmed, is StartState.OfEarlierProcess -> true
+    }
+
 /** The run at a process that has the id of the one on which it was placed. */
 internal fun HeldRun.ofEarlierProcess(leasedUntilMs: Long): HeldRun {
     val earlierMs = (start as? StartState.OfEarlierProcess)?.untilMs ?: 0
--- a/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
@@ -16,7 +16,6 @@
 import dev.jackdawdale.staged.StagedQuery
 import dev.jackdawdale.staged.StagedReply
 import dev.jackdawdale.staged.StagedState
-import dev.jackdawdale.staged.isPending
 import dev.jackdawdale.staged.isRefusedAt
 import dev.jackdawdale.staged.isValidJobId
 import dev.jackdawdale.staged.job
@@ -129,40 +128,55 @@
     private fun repeated(pass: Pass, known: StagedJob): StagedReply {
         val jobId = known.spec.jobId
         decisions.line(pass.nowMs, jobId, minor = true) {
-            "submitted again, ${known.progress}, accepted ${pass.nowMs - known.acceptedAtMs} ms ago"
+            "submitted again, ${progressOf(
+                known
+            )}, accepted ${pass.nowMs - known.acceptedAtMs} ms ago"
         }
-        return StagedReply.Job(jobId, known.progress)
+        return StagedReply.Job(jobId, progressOf(known))
     }
 
     private fun cancel(pass: Pass, leading: StagedLeader, jobId: String): StagedReply {
         val known = pass.state.staged.job(jobId)
         if (known?.outcome == null) leading.emit(pass, StagedEvent.JobCancelled(jobId))
-        decisions.line(pass.nowMs, jobId) { "cancels a job: ${known?.progress ?: "not known"}" }
+        decisions.line(pass.nowMs, jobId) {
+            "cancels a job: ${known?.let { progressOf(it) } ?: "not known"}"
+        }
         val after = pass.state.staged.job(jobId) ?: return StagedReply.NoSuchJob
-        return StagedReply.Job(jobId, after.progress)
+        return StagedReply.Job(jobId, progressOf(after))
     }
 
     private fun answer(state: StagedState, query: StagedQuery): StagedReply {
         state.jobAt(query.host, query.path)?.let {
-            return StagedReply.Job(it.spec.jobId, it.progress)
+            return StagedReply.Job(it.spec.jobId, progressOf(it))
         }
         val configuration = state.configuration ?: return StagedReply.NotConfigured
         val queue = configuration.queueFor(query.host, query.path)
             ?: return StagedReply.NoSuchQueue
         val jobId = queue.jobIdIn(query.path)
-            ?: return StagedReply.Pending(state.pendingJobs(queue.name))
+            ?: return StagedReply.Pending(pendingJobs(state, queue.name))
         val job = state.job(jobId) ?: return StagedReply.NoSuchJob
-        return StagedReply.Job(jobId, job.progress)
+        return StagedReply.Job(jobId, progressOf(job))
     }
-}
-
-private fun StagedState.pendingJobs(queue: String): Int =
-    active.values.count { it.isPending && it.spec.queue == queue }
 
-private val StagedJob.progress: JobProgress
-    get() = when (outcome) {
-        JobOutcome.COMPLETED -> JobProgress.COMPLETED
-        JobOutcome.FAILED -> JobProgress.FAILED
-        JobOutcome.CANCELLED -> JobProgress.CANCELLED
-        null -> if (startedAtMs == null) JobProgress.QUEUED else JobProgress.RUNNING
+    private fun pendingJobs(state: StagedState, queue: String): Int {
+        val atWork = jobsAtWork()
+        return state.active.values.count {
+            it.spec.queue == queue && progressOf(it, atWork) == JobProgress.QUEUED
+        }
     }
+
+    private fun jobsAtWork(): Set<String> = leader?.jobsAtWork().orEmpty()
+
+    /** A placement doesn't begin a job, as its order may be refused; a run does. */
+    private fun progressOf(job: StagedJob, atWork: Set<String> = jobsAtWork()): JobProgress =
+        when (job.outcome) {
+            JobOutcome.COMPLETED -> JobProgress.COMPLETED
+            JobOutcome.FAILED -> JobProgress.FAILED
+            JobOutcome.CANCELLED -> JobProgress.CANCELLED
+            null -> if (job.hasRun || job.spec.jobId in atWork) {
+                JobProgress.RUNNING
+            } else {
+                JobProgress.QUEUED
+            }
+        }
+}
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -172,6 +172,11 @@
         )
     }
 
+    /** The jobs of which a run is at work, as its worker confirmed or an earlier leader left it. */
+    fun jobsAtWork(): Set<String> = links.values.flatMapTo(HashSet()) { link ->
+        link.held.values.filter { it.mayBeAtWork }.map { it.taskId.stepId.jobId }
+    }
+
     fun workerRegistered(pass: Pass, registration: WorkerRegistration, onDurable: () -> Unit) =
         registry.workerRegistered(pass, registration, onDurable)
 
--- a/src/main/kotlin/dev/jackdawdale/staged/ApplyStaged.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/ApplyStaged.kt
@@ -119,7 +119,9 @@
 
 private fun StagedJob.endRun(event: StagedEvent.RunEnded): StagedJob {
     val spec = spec.steps.getOrNull(event.taskId.stepId.step) ?: return this
-    return changeStep(event.taskId.stepId) { it.endRun(event, spec) }
+    val changed = changeStep(event.taskId.stepId) { it.endRun(event, spec) }
+    val hasEndedRun = event.result != RunResult.NEVER_RAN && changed != this
+    return if (hasEndedRun) changed.copy(hasRun = true) else changed
 }
 
 private fun StageStep.endRun(event: StagedEvent.RunEnded, spec: StepSpec): StageStep {
--- a/src/main/kotlin/dev/jackdawdale/staged/StagedState.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/StagedState.kt
@@ -81,7 +81,8 @@
  * State of a staged job from its acceptance until it is deleted.
  *
  * @property terms the queue's terms when the job was accepted
- * @property startedAtMs when its first task was placed
+ * @property startedAtMs when its first task was placed; that order may have been refused
+ * @property hasRun whether a run of it has ended, other than by never starting
  * @property occurrences occurrences that have begun, by number
  */
 @Serializable
@@ -90,6 +91,7 @@
     val terms: QueueSpec,
     val acceptedAtMs: Long,
     val startedAtMs: Long? = null,
+    val hasRun: Boolean = false,
     val outcome: JobOutcome? = null,
     val endedAtMs: Long? = null,
     val occurrences: List<Occurrence> = emptyList()
@@ -173,6 +175,3 @@
             }
         }
     }
-
-/** Whether the job waits for the placement of its first task. */
-val StagedJob.isPending: Boolean get() = outcome == null && startedAtMs == null
