--- a/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
@@ -52,6 +52,9 @@
         pass.whenDurable(onDurable)
     }
 
+    /** Whether a start time is no worker's. It would outdate each true one of that id. */
+    fun isTooFarAhead(boot: Long, nowMs: Long): Boolean = boot > nowMs + MAX_BOOT_AHEAD_MS
+
     /** Whether a process that started later has the address of this unknown one. */
     private fun isOutdated(worker: PushWorker): Boolean = context.links.values.any {
         it.worker.address == worker.address && it.worker.boot > worker.boot
@@ -160,9 +163,6 @@
     /** A leave notice that is not answered yet. */
     private class Leave(val link: WorkerLink, val dueMs: Long, val onDurable: () -> Unit)
 
-    /** Whether a start time is no worker's. It would outdate each true one of that id. */
-    fun isTooFarAhead(boot: Long, nowMs: Long): Boolean = boot > nowMs + MAX_BOOT_AHEAD_MS
-
     private companion object {
         /** A worker that gets no answer within a second asks another control host. */
         const val LEAVE_ANSWER_MS = 600L
--- a/src/main/kotlin/dev/jackdawdale/staged/StagedState.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/StagedState.kt
@@ -137,10 +137,10 @@
  * The job that callers address as [path] on [host], by the queue that accepted it. The queue may
  * have been changed or dropped since.
  */
-fun StagedState.jobAt(host: String, path: String): StagedJob? = idsIn(path).firstNotNullOfOrNull {
-    val terms = job(it)?.terms
-    job(it).takeIf { _ -> terms?.host == host && terms.pathPrefix + it == path }
-}
+fun StagedState.jobAt(host: String, path: String): StagedJob? =
+    idsIn(path).mapNotNull(::job).firstOrNull {
+        it.terms.host == host && it.terms.pathPrefix + it.spec.jobId == path
+    }
 
 /** Whether the job at [path] was cancelled before it arrived, so that it never runs. */
 fun StagedState.isRefusedAt(path: String): Boolean = idsIn(path).any { it in refusedIds }
