Refuse texts with a surrogate alone, which can't be passed on unchanged

Cause: JSON may escape a surrogate without its pair. Such a payload was accepted, and UTF-8 put a question mark in its place, so a worker got another text than the caller had sent.

Change: a text that can't be encoded is not read, like one of another type.

--- a/src/main/kotlin/dev/jackdawdale/platform/WireJson.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireJson.kt
@@ -48,8 +48,19 @@
     return read(primitive) ?: throw MalformedBody("$name is not $type")
 }
 
-internal fun JsonObject.textOrNull(name: String): String? =
-    typed(name, "a text") { if (it.isString) it.content else null }
+internal fun JsonObject.textOrNull(name: String): String? = typed(name, "a text") { it.textOrNull }
+
+private val JsonPrimitive.textOrNull: String? get() = content.takeIf { isString && it.isWellFormed }
+
+/** Whether surrogates come in pairs. JSON may escape one alone, but UTF-8 can't pass it on. */
+private val String.isWellFormed: Boolean
+    get() = indices.all { index ->
+        when {
+            this[index].isHighSurrogate() -> getOrNull(index + 1)?.isLowSurrogate() ?: false
+            this[index].isLowSurrogate() -> getOrNull(index - 1)?.isHighSurrogate() ?: false
+            else -> true
+        }
+    }
 
 internal fun JsonObject.text(name: String): String =
     textOrNull(name) ?: throw MalformedBody("$name is missing")
@@ -100,8 +111,8 @@
 internal fun JsonElement.asObject(name: String): JsonObject =
     this as? JsonObject ?: throw MalformedBody("$name holds something that is not an object")
 
-internal fun JsonElement.asText(name: String): String = (this as? JsonPrimitive)
-    ?.takeIf { it.isString }?.content ?: throw MalformedBody("$name holds something but a text")
+internal fun JsonElement.asText(name: String): String = (this as? JsonPrimitive)?.textOrNull
+    ?: throw MalformedBody("$name holds something but a text")
 
 internal fun JsonElement.asLong(name: String, range: LongRange = 0..MAX_WHOLE): Long =
     (this as? JsonPrimitive)?.longIn(range)
