Look up the runs of one job for its state, not those of all workers

Found in the last reading: each answer about a job, also one whose state alone decides, built a set over the runs of every worker on the control thread.

Change: the job's own placements are looked up, and only if it has neither an outcome nor a run. No change of behaviour; a line that the formatter had wrapped reads straight again.

Tests of push, platform and staged, with formatter and linter: green.

--- a/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
@@ -127,12 +127,11 @@
 
     private fun repeated(pass: Pass, known: StagedJob): StagedReply {
         val jobId = known.spec.jobId
+        val progress = progressOf(known)
         decisions.line(pass.nowMs, jobId, minor = true) {
-            "submitted again, ${progressOf(
-                known
-            )}, accepted ${pass.nowMs - known.acceptedAtMs} ms ago"
+            "submitted again, $progress, accepted ${pass.nowMs - known.acceptedAtMs} ms ago"
         }
-        return StagedReply.Job(jobId, progressOf(known))
+        return StagedReply.Job(jobId, progress)
     }
 
     private fun cancel(pass: Pass, leading: StagedLeader, jobId: String): StagedReply {
@@ -158,25 +157,18 @@
         return StagedReply.Job(jobId, progressOf(job))
     }
 
-    private fun pendingJobs(state: StagedState, queue: String): Int {
-        val atWork = jobsAtWork()
-        return state.active.values.count {
-            it.spec.queue == queue && progressOf(it, atWork) == JobProgress.QUEUED
-        }
+    private fun pendingJobs(state: StagedState, queue: String): Int = state.active.values.count {
+        it.spec.queue == queue && progressOf(it) == JobProgress.QUEUED
     }
 
-    private fun jobsAtWork(): Set<String> = leader?.jobsAtWork().orEmpty()
-
     /** A placement doesn't begin a job, as its order may be refused; a run does. */
-    private fun progressOf(job: StagedJob, atWork: Set<String> = jobsAtWork()): JobProgress =
-        when (job.outcome) {
-            JobOutcome.COMPLETED -> JobProgress.COMPLETED
-            JobOutcome.FAILED -> JobProgress.FAILED
-            JobOutcome.CANCELLED -> JobProgress.CANCELLED
-            null -> if (job.hasRun || job.spec.jobId in atWork) {
-                JobProgress.RUNNING
-            } else {
-                JobProgress.QUEUED
-            }
+    private fun progressOf(job: StagedJob): JobProgress = when (job.outcome) {
+        JobOutcome.COMPLETED -> JobProgress.COMPLETED
+        JobOutcome.FAILED -> JobProgress.FAILED
+        JobOutcome.CANCELLED -> JobProgress.CANCELLED
+        null -> {
+            val hasBegun = job.hasRun || leader?.isAtWork(job) ?: false
+            if (hasBegun) JobProgress.RUNNING else JobProgress.QUEUED
         }
+    }
 }
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -9,6 +9,7 @@
 import dev.jackdawdale.staged.RunPlacement
 import dev.jackdawdale.staged.RunResult
 import dev.jackdawdale.staged.StagedEvent
+import dev.jackdawdale.staged.StagedJob
 import dev.jackdawdale.staged.StagedState
 import dev.jackdawdale.staged.job
 import dev.jackdawdale.staged.placements
@@ -172,9 +173,9 @@
         )
     }
 
-    /** The jobs of which a run is at work, as its worker confirmed or an earlier leader left it. */
-    fun jobsAtWork(): Set<String> = links.values.flatMapTo(HashSet()) { link ->
-        link.held.values.filter { it.mayBeAtWork }.map { it.taskId.stepId.jobId }
+    /** Whether a run of the job is at work: confirmed, or left by an earlier leader. */
+    fun isAtWork(job: StagedJob): Boolean = job.placements().any { (taskId, placement) ->
+        links[placement.workerId]?.runOf(taskId, placement.run)?.mayBeAtWork ?: false
     }
 
     fun workerRegistered(pass: Pass, registration: WorkerRegistration, onDurable: () -> Unit) =
