--- a/src/test/kotlin/dev/jackdawdale/push/StagedControlFixture.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/StagedControlFixture.kt
@@ -25,6 +25,7 @@
  *
  * @param report answers of the workers to requests for a report; they list no runs by default
  * @param stop answers of the workers to stop orders, or null for none
+ * @param calls carries out all calls to workers in place of the other parameters
  */
 internal class StagedControlFixture(
     events: List<StagedEvent>,
@@ -32,7 +33,8 @@
     private val report: (PushWorker, nowMs: Long) -> ReportResult = { _, nowMs ->
         ReportResult.Reported(RunReport(1, nowMs, emptyList(), emptyList()))
     },
-    private val stop: (PushWorker, StageTaskId, run: Int) -> StopResult? = { _, _, _ -> null }
+    private val stop: (PushWorker, StageTaskId, run: Int) -> StopResult? = { _, _, _ -> null },
+    calls: WorkerClient? = null
 ) {
     val starts = ArrayList<StartOrder>()
 
@@ -40,14 +42,15 @@
     val startedOn = ArrayList<String>()
     val startResults = ArrayList<(StartResult) -> Unit>()
     val adviceCalls = ArrayList<AdviceCall>()
-    private var nowMs = 100_000L
+    var nowMs = 100_000L
+        private set
     val staged: StagedState get() = state.staged
     private var state = CellState().apply(EventBatch(nowMs, events.map { Event.Staged(it) })).state
     private val actions = ArrayDeque<(Pass) -> Unit>()
     private val control = StagedControl(
         PushSettings(),
         LeaderDependencies(
-            WorkerClient(
+            calls ?: WorkerClient(
                 start = { worker, order, onResult ->
                     starts += order
                     startedOn += worker.workerId
