Give each process of a worker its own fencing token, and count leases in full

Workers were back under their old ids and were cut off soon after; a task started again after a run of it had ended as done and the end had been acknowledged.

Cause: a worker checks the id in a call, not the process. A restarted worker took calls for its earlier process, and each carries a value of that process: the lease time on its clock, so that the lease was as long as workers grant (6 or 10 s) where the leader counts 5.4 s; the number up to which ends are forgotten, which hid ends that were never listed; and start orders, also ones that the leader itself repeated after it knew of the restart.

Change: fencing tokens rise with each process that joins, below the term. A process that answers for the first time is asked again with its own token before it gets runs; from then on it refuses all calls for earlier processes. Leases that may come from such calls, and those of runs whose order isn't confirmed, count with the longest lease that workers grant, a new setting that the platform gives. An acknowledgement is sent until it is answered, and not to a worker that has stopped answering. An order isn't repeated to a worker that was replaced. A start whose answer has a clock from before the order isn't a confirmation. A run listed as done that isn't placed there is logged.

Cost: lost work waits for up to 1 s longer where workers grant 6 s, and 5.1 s where they grant 10 s, but only runs without a confirmed order, and runs on a worker that is lost within that time of its first answer.

--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformClient.kt
@@ -36,18 +36,20 @@
             put("run", order.run)
             put("spec", order.payload)
             put("deadlineMs", order.validUntilMs)
-            put("fencingToken", order.term)
+            put("fencingToken", order.fencingToken)
             if (order.checkpoint.isNotEmpty()) put("lastCheckpoint", order.checkpoint)
             if (order.ticket.isNotEmpty()) put("ticket", order.ticket)
         }
-        call(worker, "/run-start", body, settings.startAnswerMs) { onResult(startResult(it)) }
+        call(worker, "/run-start", body, settings.startAnswerMs) {
+            onResult(startResult(worker.workerId, it))
+        }
     }
 
-    private fun startResult(outcome: CallOutcome): StartResult = when (outcome) {
+    private fun startResult(workerId: String, outcome: CallOutcome): StartResult = when (outcome) {
         is CallOutcome.NotSent -> StartResult.NotSent
         is CallOutcome.Unanswered -> StartResult.Unknown(outcome.reason)
         is CallOutcome.Answered -> when (outcome.status) {
-            OK -> StartResult.Started
+            OK -> StartResult.Started(clockOf(workerId, outcome.body))
             CONFLICT -> refusalOf(outcome.body)
             BAD_REQUEST -> StartResult.Refused(StartRefusal.MALFORMED)
             OVERLOADED, UNAVAILABLE -> StartResult.Refused(StartRefusal.UNHEALTHY)
@@ -56,6 +58,14 @@
         }
     }
 
+    /** The run has started, whatever the body holds. */
+    private fun clockOf(workerId: String, body: ByteArray): Long? = try {
+        wireObject(body).longOrNull("clockMs")
+    } catch (e: MalformedBody) {
+        rejected.record(BodyKind.START_ANSWER, workerId, e.problem)
+        null
+    }
+
     private fun refusalOf(body: ByteArray): StartResult = try {
         val reason = wireObject(body).text("reason")
         refusalReasons[reason]?.let { StartResult.Refused(it) }
@@ -68,13 +78,13 @@
         worker: PushWorker,
         taskId: StageTaskId,
         run: Int,
-        term: Long,
+        fencingToken: Long,
         onResult: (StopResult) -> Unit
     ) {
         val body = buildJsonObject {
             put("task", taskId.wireName)
             put("run", run)
-            put("fencingToken", term)
+            put("fencingToken", fencingToken)
         }
         call(worker, "/run-stop", body, settings.startAnswerMs) { outcome ->
             val status = (outcome as? CallOutcome.Answered)?.status
@@ -94,7 +104,7 @@
         onResult: (ReportResult) -> Unit
     ) {
         val body = buildJsonObject {
-            put("fencingToken", request.term)
+            put("fencingToken", request.fencingToken)
             put("ackCursor", request.acknowledgedEnd)
             request.leaseUntilMs?.let { put("deadlineMs", it) }
             if (request.waitMs > 0) put("waitMs", request.waitMs)
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -266,7 +266,8 @@
     val defaults = PushSettings()
     return defaults.copy(
         remoteFactor = remoteFactor,
-        rateWindowMs = rateWindowMs ?: defaults.rateWindowMs
+        rateWindowMs = rateWindowMs ?: defaults.rateWindowMs,
+        maxLeaseMs = maxLeaseMs ?: defaults.maxLeaseMs
     )
 }
 
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformSettings.kt
@@ -28,6 +28,7 @@
  * @property toleratedLosses number of machines with a disk that may be lost at the same time
  * @property hasCustomers calls need customers' keys even while a configuration lists no customers
  * @property rateWindowMs span over which a customer's jobs are counted against its rate, or null
+ * @property maxLeaseMs longest lease that a worker grants, or null
  * @property remoteFactor multiple of its run time that a task takes away from its data or its gang
  */
 internal data class PlatformSettings(
@@ -47,7 +48,8 @@
     val gracePeriodMs: Long,
     val hasCustomers: Boolean = false,
     val remoteFactor: Double = 1.0,
-    val rateWindowMs: Long? = null
+    val rateWindowMs: Long? = null,
+    val maxLeaseMs: Long? = null
 )
 
 /** Reads the settings file. Throws [MalformedBody] when a field is missing or malformed. */
@@ -78,6 +80,8 @@
             ?: 0,
         rateWindowMs = fields.objectOrNull("bounds")?.doubleOrNull("quotaWindowS")
             ?.let { (it * MS_PER_S).toLong() },
+        maxLeaseMs = fields.objectOrNull("bounds")?.doubleOrNull("maxHoldMs")?.toLong()
+            ?.takeIf { it > 0 },
         remoteFactor = fields.objectOrNull("bounds")?.doubleOrNull("remoteFactor")
             ?.takeIf { it.isFinite() && it > 1 } ?: 1.0,
         gracePeriodMs = fields.objectOrNull("bounds")?.doubleOrNull("graceS")
--- a/src/main/kotlin/dev/jackdawdale/platform/RejectedBodies.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/RejectedBodies.kt
@@ -9,7 +9,7 @@
 private const val LINES_PER_S = 5
 
 /** What a body was, for its metric. */
-internal enum class BodyKind { JOB, CONFIGURATION, REGISTRATION, RUN_REPORT, ADVICE }
+internal enum class BodyKind { JOB, CONFIGURATION, REGISTRATION, RUN_REPORT, START_ANSWER, ADVICE }
 
 /**
  * Counts the bodies and rows that could not be decoded, and logs some of them: their sender may
--- a/src/main/kotlin/dev/jackdawdale/platform/WireWorker.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/WireWorker.kt
@@ -144,7 +144,7 @@
 
 /** Start refusals by the `reason` in a worker's 409 answer. */
 internal val refusalReasons = mapOf(
-    "fence" to StartRefusal.OLD_TERM,
+    "fence" to StartRefusal.OLD_TOKEN,
     "old" to StartRefusal.OLD_RUN,
     "late" to StartRefusal.TOO_LATE,
     "room" to StartRefusal.NO_ROOM,
--- a/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
@@ -47,6 +47,7 @@
  * A run that occupies capacity on a worker.
  *
  * @property reserved capacity that it occupies
+ * @property orderUnanswered whether a start order for it got no answer: it may take effect later
  * @property stopAcceptedMs when the worker accepted a stop for it, or null
  * @property checkpoint the last one that the worker listed
  * @property progressMs when [percent] changed last
@@ -58,6 +59,7 @@
     val placement: RunPlacement,
     val reserved: Resources,
     val start: StartState,
+    val orderUnanswered: Boolean = false,
     val stopRequested: Boolean = false,
     val stopSentMs: Long? = null,
     val stopAcceptedMs: Long? = null,
--- a/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/LeaderContext.kt
@@ -50,6 +50,7 @@
     val endRun: (Pass, StagedEvent.RunEnded, EndEvidence) -> Unit
 ) {
     private var retired = false
+    val fencingTokens = FencingTokens(term)
 
     /** Added to this host's clock, which may be behind the time of the log's last batch. */
     private val clockOffsetMs = maxOf(0, nowMs - dependencies.clock())
--- a/src/main/kotlin/dev/jackdawdale/push/PushSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/PushSettings.kt
@@ -4,6 +4,7 @@
  * Timeouts and intervals for sending orders to workers.
  *
  * @property leaseMs lease of a worker after each report; long enough for a leader election
+ * @property maxLeaseMs longest lease that a worker grants, whatever time it is asked for
  * @property clockDriftShare share by which a worker's clock may be slower than this host's
  * @property leaseExpirySlackMs allowance for network and timer delays after a lease has expired
  * @property startValidMs time within which a start order may take effect
@@ -30,6 +31,7 @@
  */
 internal data class PushSettings(
     val leaseMs: Long = 5_000,
+    val maxLeaseMs: Long = 6_000,
     val clockDriftShare: Double = 0.02,
     val leaseExpirySlackMs: Long = 300,
     val startValidMs: Long = 1_500,
@@ -55,4 +57,14 @@
 
 /** Time after the last lease extension until everything on a silent worker has ended. */
 internal val PushSettings.leaseExpiryMs: Long
-    get() = (leaseMs / (1 - clockDriftShare)).toLong() + leaseExpirySlackMs
+    get() = expiryMs(minOf(leaseMs, maxLeaseMs))
+
+/**
+ * Like [leaseExpiryMs] if another process than the intended one took the call: the lease time is
+ * on a clock that it doesn't have, so that its lease may be the longest that workers grant.
+ */
+internal val PushSettings.maxLeaseExpiryMs: Long
+    get() = expiryMs(maxLeaseMs)
+
+private fun PushSettings.expiryMs(ofLeaseMs: Long): Long =
+    (ofLeaseMs / (1 - clockDriftShare)).toLong() + leaseExpirySlackMs
--- a/src/main/kotlin/dev/jackdawdale/push/Reconciliation.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/Reconciliation.kt
@@ -10,12 +10,14 @@
  * @property held the runs that still occupy capacity
  * @property events ended runs; must be durable before the ends are acknowledged
  * @property unexpected listed runs that are not placed there
+ * @property unexpectedSuccesses listed ends as done of runs that are not placed there
  * @property lastEnd highest number of a listed end
  */
 internal data class Reconciliation(
     val held: Map<StageTaskId, HeldRun>,
     val events: List<StagedEvent.RunEnded>,
     val unexpected: List<ListedRun>,
+    val unexpectedSuccesses: List<EndedRun>,
     val lastEnd: Long
 )
 
@@ -57,7 +59,11 @@
         }
     }
     val unexpected = report.running.filter { held[it.taskId]?.placement?.run != it.run }
-    return Reconciliation(remaining, events, unexpected, ends.maxOfOrNull { it.number } ?: lastEnd)
+    val successes = ends.filter {
+        it.end == ListedEnd.DONE && it.taskId != null && held[it.taskId]?.placement?.run != it.run
+    }
+    val highest = ends.maxOfOrNull { it.number } ?: lastEnd
+    return Reconciliation(remaining, events, unexpected, successes, highest)
 }
 
 private val HeldRun.resultUnlisted: RunResult
--- a/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunOrders.kt
@@ -20,6 +20,8 @@
 ) {
     /** Sends the start order for a run; its placement must be durable. */
     fun sendStart(link: WorkerLink, taskId: StageTaskId, number: Int, order: StartDraft) {
+        // A later process must not get a repeated order for the one that it has replaced.
+        if (context.links[link.worker.workerId] !== link) return
         val run = link.runOf(taskId, number) ?: return
         val nowMs = context.nowMs()
         val workerMs = link.workerTimeMs(nowMs)
@@ -28,19 +30,21 @@
             return
         }
         val validUntilMs = workerMs + context.settings.startValidMs
-        link.leasedUntilMs = maxOf(link.leasedUntilMs, nowMs + context.settings.leaseExpiryMs)
+        link.extendLease(context.settings, nowMs)
         link.update(run.copy(start = StartState.Sent(validUntilMs)))
         val start = StartOrder(
             taskId,
             number,
             order.payload,
             validUntilMs,
-            context.term,
+            link.fencingToken,
             order.checkpoint,
             order.ticket
         )
+        val clockMs = link.clockMs
         context.dependencies.calls.start(link.worker, start) { result ->
-            context.submit { pass -> startAnswered(pass, link, start, order, result) }
+            val actual = if (result.isOfLaterProcess(clockMs)) StartResult.LaterProcess else result
+            context.submit { pass -> startAnswered(pass, link, start, order, actual) }
         }
     }
 
@@ -60,10 +64,11 @@
     ) {
         val run = link.runOf(start.taskId, start.run) ?: return
         when (result) {
-            StartResult.Started ->
+            is StartResult.Started ->
                 if (run.start is StartState.Sent) {
                     link.update(run.copy(start = StartState.Confirmed(pass.nowMs)))
                 }
+            StartResult.LaterProcess -> startedByLater(pass, link, run)
             is StartResult.Refused -> {
                 refused(pass, link, start, result.refusal)
                 if (order.tries > 1) {
@@ -89,6 +94,19 @@
         }
     }
 
+    /** Another process has started the run; its own report decides what becomes of it. */
+    private fun startedByLater(pass: Pass, link: WorkerLink, run: HeldRun) {
+        log.warn(
+            "a later process of worker {} than boot {} started {} run {}",
+            link.worker.workerId,
+            link.worker.boot,
+            run.taskId,
+            run.placement.run
+        )
+        link.update(run.copy(orderUnanswered = true))
+        registry.anotherAnswered(pass, link)
+    }
+
     private fun refused(pass: Pass, link: WorkerLink, start: StartOrder, refusal: StartRefusal) {
         log.warn(
             "worker {} refused {} run {}: {}",
@@ -136,7 +154,8 @@
             reason
         )
         context.timing.callLost(context.nowMs())
-        val run = link.runOf(start.taskId, start.run) ?: return
+        val run = link.runOf(start.taskId, start.run)?.copy(orderUnanswered = true) ?: return
+        link.update(run)
         if (run.start is StartState.Confirmed) return
         if (order.tries >= MAX_START_TRIES) return context.requestStop(start.taskId, run.placement)
         sendStart(link, start.taskId, start.run, order.copy(tries = order.tries + 1))
@@ -159,7 +178,7 @@
                     link.worker,
                     run.taskId,
                     number,
-                    context.term
+                    link.fencingToken
                 ) { result ->
                     context.submit { pass ->
                         stopAnswered(pass, link, run.taskId, number, result)
--- a/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
@@ -37,14 +37,12 @@
         // The lease of an unreachable worker is left to expire, which ends its runs.
         val leaseMs = link.workerTimeMs(nowMs)?.takeIf { link.reachable }
             ?.let { it + context.settings.leaseMs }
-        if (leaseMs != null) {
-            link.leasedUntilMs = maxOf(link.leasedUntilMs, nowMs + context.settings.leaseExpiryMs)
-        }
+        if (leaseMs != null) link.extendLease(context.settings, nowMs)
         val waitMs = context.timing.waitMs(link.synced && link.reachable, nowMs)
-        val request = ReportRequest(context.term, leaseMs, link.acknowledgedEnd, waitMs)
+        val request = ReportRequest(link.fencingToken, leaseMs, link.unansweredEnd, waitMs)
         val worker = link.worker
         context.dependencies.calls.report(worker, request) { result ->
-            context.submit { pass -> reported(pass, link, worker, result, nowMs) }
+            context.submit { pass -> reported(pass, link, worker, request, result, nowMs) }
         }
     }
 
@@ -52,13 +50,17 @@
         pass: Pass,
         link: WorkerLink,
         worker: PushWorker,
+        request: ReportRequest,
         result: ReportResult,
         askedAtMs: Long
     ) {
         if (context.links[worker.workerId] !== link) return
         link.reportInFlight = false
         when (result) {
-            is ReportResult.Reported -> applyReport(pass, link, result.report, askedAtMs)
+            is ReportResult.Reported -> {
+                val isOfProcess = isOfKnownProcess(pass, link, result.report.boot)
+                if (isOfProcess) applyReport(pass, link, request, result.report, askedAtMs)
+            }
             ReportResult.OtherBoot -> {
                 retryReport(link, pass.nowMs)
                 // The worker may have moved since the request.
@@ -83,25 +85,34 @@
         link.reportDueMs = context.timing.retryDueMs(link.reportFailures, nowMs)
     }
 
-    private fun applyReport(pass: Pass, link: WorkerLink, report: RunReport, askedAtMs: Long) {
-        val nowMs = pass.nowMs
-        val boot = report.boot ?: link.worker.boot
-        if (boot < link.worker.boot || registry.isTooFarAhead(boot, nowMs)) {
-            retryReport(link, nowMs)
-            return registry.anotherAnswered(pass, link)
-        }
-        if (boot > link.worker.boot) {
+    /**
+     * Whether the process that the worker is known by has answered. The answer of a later one is to
+     * a call for the earlier one, so that one is asked again with its own token.
+     */
+    private fun isOfKnownProcess(pass: Pass, link: WorkerLink, answeredBoot: Long?): Boolean {
+        val boot = answeredBoot ?: link.worker.boot
+        val known = link.worker.boot
+        if (boot < known || registry.isTooFarAhead(boot, pass.nowMs)) {
+            retryReport(link, pass.nowMs)
+            registry.anotherAnswered(pass, link)
+        } else if (boot > known) {
             // Gets no runs before it registers with its own capacity.
-            val later = link.worker.copy(boot = boot, draining = true)
-            val next = registry.replaceProcess(pass, link, later)
-            return applyReport(pass, next, report, askedAtMs)
+            registry.replaceProcess(pass, link, link.worker.copy(boot = boot, draining = true))
         }
+        return boot == known
+    }
+
+    private fun applyReport(
+        pass: Pass,
+        link: WorkerLink,
+        request: ReportRequest,
+        report: RunReport,
+        askedAtMs: Long
+    ) {
+        val nowMs = pass.nowMs
         link.readClock(report.clockMs, nowMs)
-        link.reachable = true
-        link.reportFailures = 0
-        link.synced = true
-        link.heardMs = nowMs
-        link.reportedMs = nowMs
+        link.answered(context.settings, nowMs)
+        link.discarded(request.acknowledgedEnd)
         if (report.ended.isNotEmpty()) withEnds++
         val reconciled = reconcileReport(link.held, report, askedAtMs, link.decidedEnd, nowMs)
         reconciled.held.values.forEach(link::update)
@@ -109,6 +120,7 @@
         reconciled.events.forEach { context.recordSpeed(pass, link, it) }
         reconciled.events.forEach { context.endRun(pass, it, EndEvidence.REPORTED) }
         reconciled.unexpected.forEach { stopUnexpected(link, it) }
+        reconciled.unexpectedSuccesses.forEach { logUnexpectedSuccess(link, it) }
         link.decidedEnd = reconciled.lastEnd
         if (reconciled.lastEnd > link.acknowledgedEnd) {
             // Before the ends are durable and acknowledged, the worker would list them again.
@@ -147,21 +159,35 @@
             listed.taskId,
             listed.run
         )
-        context.dependencies.calls.stop(link.worker, listed.taskId, listed.run, context.term) {}
+        val token = link.fencingToken
+        context.dependencies.calls.stop(link.worker, listed.taskId, listed.run, token) {}
     }
 
+    /** A task whose run has succeeded unknown to the leader may have been started again. */
+    private fun logUnexpectedSuccess(link: WorkerLink, end: EndedRun) = log.warn(
+        "worker {} boot {} lists {} run {} as done, which is not placed there",
+        link.worker.workerId,
+        link.worker.boot,
+        end.taskId,
+        end.run
+    )
+
     /** Ends the runs on workers whose lease has expired, and removes silent workers. */
     fun expireLeases(pass: Pass) {
         for (link in context.links.values.toList()) {
             if (pass.nowMs <= link.leasedUntilMs) continue
-            if (link.held.isNotEmpty()) {
+            val expired = link.held.values.filter { pass.nowMs > link.mayRunUntilMs(it) }
+            if (expired.isNotEmpty()) {
                 log.warn(
-                    "the lease of worker {} has expired with {} runs",
+                    "the lease of worker {} boot {} has expired with {} runs, {} more may run on",
                     link.worker.workerId,
-                    link.held.size
+                    link.worker.boot,
+                    expired.size,
+                    link.held.size - expired.size
                 )
-                registry.interruptAll(pass, link)
+                registry.interrupt(pass, expired)
             }
+            if (link.held.isNotEmpty()) continue
             val silentMs = pass.nowMs - link.heardMs
             if (silentMs > context.settings.silentForgetMs || link.worker.address.isEmpty()) {
                 registry.removeWorker(pass, link, "silent for $silentMs ms")
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -51,8 +51,9 @@
     private var forgetDueMs = nowMs + FORGET_EVERY_MS
 
     init {
-        val leasedUntilMs = nowMs + settings.leaseExpiryMs
-        state.workers.values.forEach { links[it.workerId] = WorkerLink(it, leasedUntilMs, nowMs) }
+        // A worker may have taken calls for an earlier process, which this leader can't know of.
+        val leasedUntilMs = nowMs + settings.maxLeaseExpiryMs
+        state.workers.values.forEach { links[it.workerId] = inherit(it, leasedUntilMs, nowMs) }
         for (job in state.active.values) {
             job.placements().forEach { (taskId, placement) ->
                 val spec = job.spec.steps[taskId.stepId.step]
@@ -89,9 +90,12 @@
                 labels = emptyList(),
                 draining = true
             )
-            WorkerLink(gone, leasedUntilMs, nowMs)
+            inherit(gone, leasedUntilMs, nowMs)
         }
 
+    private fun inherit(worker: PushWorker, leasedUntilMs: Long, nowMs: Long) =
+        WorkerLink(worker, context.fencingTokens.inherited, leasedUntilMs, nowMs)
+
     /** Counts a job of [owner], and returns whether it is beyond the customer's rate. */
     fun isBeyondRate(pass: Pass, jobId: String, owner: JobOwner?): Boolean {
         val contract = owner?.let { pass.state.staged.contracts[it.customerId] } ?: return false
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerClient.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerClient.kt
@@ -7,7 +7,7 @@
  * An order to start one run.
  *
  * @property validUntilMs time on the worker's clock after which the worker must refuse the order
- * @property term fencing token: the term of the leader that sends the order
+ * @property fencingToken token of the process that the order is for ([FencingTokens])
  * @property checkpoint where the run continues, or empty
  * @property ticket proof that the queue's policy allows the worker, or empty
  */
@@ -16,15 +16,15 @@
     val run: Int,
     val payload: String,
     val validUntilMs: Long,
-    val term: Long,
+    val fencingToken: Long,
     val checkpoint: String,
     val ticket: String
 )
 
 /** Why a worker refused an order; the run does not start. */
 internal enum class StartRefusal {
-    /** The worker has seen an order of a newer leader. */
-    OLD_TERM,
+    /** The worker has seen a higher fencing token: of a newer leader or for a later process. */
+    OLD_TOKEN,
 
     /** The same or a newer run was stopped or has ended there. */
     OLD_RUN,
@@ -39,7 +39,15 @@
 
 /** Result of a start order. */
 internal sealed interface StartResult {
-    data object Started : StartResult
+    /**
+     * The run has started, or had already.
+     *
+     * @property clockMs clock of the process that answered, or null when the answer doesn't tell
+     */
+    data class Started(val clockMs: Long? = null) : StartResult
+
+    /** A later process under the worker's id has started the run. */
+    data object LaterProcess : StartResult
 
     data class Refused(val refusal: StartRefusal) : StartResult
 
@@ -53,6 +61,13 @@
     data class Unknown(val reason: String) : StartResult
 }
 
+/**
+ * Whether another process than the one that was sent the order answered, when that one had last
+ * shown [sentClockMs]. A clock never goes back, and begins anew with each process.
+ */
+internal fun StartResult.isOfLaterProcess(sentClockMs: Long?): Boolean =
+    this is StartResult.Started && clockMs != null && sentClockMs != null && clockMs < sentClockMs
+
 /** Result of a stop order. */
 internal enum class StopResult { ACCEPTED, OTHER_BOOT, UNKNOWN }
 
@@ -97,12 +112,13 @@
 /**
  * Requests a report from a worker and extends its lease.
  *
+ * @property fencingToken token of the process that is asked ([FencingTokens])
  * @property leaseUntilMs time on the worker's clock, or null to leave the lease unchanged
  * @property acknowledgedEnd ends up to this number are durable; the worker may discard them
  * @property waitMs how long the worker may delay its answer until a run ends
  */
 internal data class ReportRequest(
-    val term: Long,
+    val fencingToken: Long,
     val leaseUntilMs: Long?,
     val acknowledgedEnd: Long,
     val waitMs: Long
@@ -120,6 +136,12 @@
 /** Calls to workers; each result callback is called once, on any thread. */
 internal class WorkerClient(
     val start: (PushWorker, StartOrder, (StartResult) -> Unit) -> Unit,
-    val stop: (PushWorker, StageTaskId, run: Int, term: Long, (StopResult) -> Unit) -> Unit,
+    val stop: (
+        PushWorker,
+        StageTaskId,
+        run: Int,
+        fencingToken: Long,
+        (StopResult) -> Unit
+    ) -> Unit,
     val report: (PushWorker, ReportRequest, (ReportResult) -> Unit) -> Unit
 )
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
@@ -61,7 +61,9 @@
     }
 
     private fun addLink(pass: Pass, worker: PushWorker): WorkerLink {
-        val link = WorkerLink(worker, pass.nowMs + context.settings.leaseExpiryMs, pass.nowMs)
+        val nowMs = pass.nowMs
+        val leasedUntilMs = nowMs + context.settings.maxLeaseExpiryMs
+        val link = WorkerLink(worker, context.fencingTokens.next(), leasedUntilMs, nowMs)
         context.links[worker.workerId] = link
         context.emit(pass, StagedEvent.WorkerRegistered(worker))
         log.info("worker {} boot {} joins at {}", worker.workerId, worker.boot, worker.address)
@@ -88,7 +90,7 @@
             context.endRun(pass, end, EndEvidence.NOT_SENT)
         }
         val next = addLink(pass, worker)
-        sent.forEach { next.hold(it.ofEarlierProcess(link.leasedUntilMs)) }
+        sent.forEach { next.hold(it.ofEarlierProcess(link.mayRunUntilMs(it))) }
         return next
     }
 
@@ -150,9 +152,9 @@
         context.emit(pass, StagedEvent.WorkerLeft(worker.workerId, worker.boot))
     }
 
-    /** Ends the runs of a worker whose lease has expired, as interrupted. */
-    fun interruptAll(pass: Pass, link: WorkerLink) {
-        link.held.values.toList().forEach { run ->
+    /** Ends runs of a worker whose lease has expired, as interrupted. */
+    fun interrupt(pass: Pass, runs: List<HeldRun>) {
+        runs.forEach { run ->
             val number = run.placement.run
             val end =
                 StagedEvent.RunEnded(run.taskId, number, RunResult.INTERRUPTED, run.checkpoint)
--- a/src/test/kotlin/dev/jackdawdale/push/RefusalReplay.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/RefusalReplay.kt
@@ -130,6 +130,7 @@
     private val unanswered = ArrayList<ReplayJob>()
     private val cell = WorkerLink(
         testWorker.copy(cpuMillis = load.cores * 1_000, service = testQueue.service),
+        fencingToken = 1,
         inheritedUntilMs = 0,
         nowMs
     )
