Let the stand-in worker cut leases and start again under its old id

It kept a lease of any length and the host's clock, so that no test could show what a call for a worker's former life does to the new one. Its state moves to StandInLife, one for each life: leases end after maxHoldMs at the latest, the clock begins at 0 (in the first life at firstClockMs) and can be slow, ends count from 1, and no token has been seen. restart() begins the next one at the same address; answers of the former process never arrive.

The new row of PlatformContractTest restarts a worker while it runs a task: the task is done once.

--- a/src/main/kotlin/dev/jackdawdale/platform/StandInWorker.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/StandInWorker.kt
@@ -39,30 +39,31 @@
 /**
  * A simulated worker for tests and demonstrations, with fencing tokens, leases and lists of runs.
  * Each task runs for [taskMs]; [fault] sets the fault of the nth start order, counted from 1.
+ *
+ * @param maxHoldMs longest lease; a longer one is cut to it
+ * @param clockSlowShare share by which the worker's clock is slower than [clock]
+ * @param firstClockMs the worker's clock when its first life begins; later lives begin at 0
+ * @param clock a steady clock in milliseconds
  */
 internal class StandInWorker(
     val id: String,
     private val taskMs: Long = 50,
+    private val maxHoldMs: Long = 6_000,
+    private val clockSlowShare: Double = 0.0,
+    firstClockMs: Long = 0,
     private val clock: () -> Long = { System.nanoTime() / 1_000_000 },
     private val fault: (order: Int) -> OrderFault = { OrderFault() }
 ) : AutoCloseable {
-    private class Running(val task: String, val run: Int, val spec: String)
-
-    private class Ended(val number: Long, val task: String, val run: Int, val kind: String)
-
     private val timer: ScheduledExecutorService =
         Executors.newSingleThreadScheduledExecutor { Thread(it, "worker-$id") }
-    private val running = LinkedHashMap<String, Running>()
-    private val ended = ArrayList<Ended>()
-    private val highestRun = HashMap<String, Int>()
     private val recorded = ArrayList<WorkerEvent>()
-    private var highestTerm = 0L
-    private var leaseUntilMs = 0L
-    private var nextEndNumber = 1L
     private var startOrders = 0
     private var endRecorded = CompletableDeferred<Unit>()
     private var lastSequence = 0L
-    private val startedAtMs = System.currentTimeMillis()
+    private var startedAtMs = System.currentTimeMillis()
+
+    @Volatile
+    private var life = begin(firstClockMs)
 
     private val server: HttpServer = httpServer(
         HttpSettings(threads = 1, authMode = AuthMode.PRIVATE_NETWORK),
@@ -93,6 +94,25 @@
         server.close()
     }
 
+    /** Starts the process again at the same address under the same id: all its runs are lost. */
+    @Synchronized
+    fun restart() {
+        life.running.forEach { record(WorkerEvent("lost", it.task, it.run)) }
+        life = begin(clockStartMs = 0)
+        lastSequence = 0
+        startedAtMs = maxOf(startedAtMs + 1, System.currentTimeMillis())
+    }
+
+    private fun begin(clockStartMs: Long) =
+        StandInLife(clock(), maxHoldMs, clockSlowShare, clockStartMs, ::record)
+
+    private fun record(event: WorkerEvent) {
+        recorded += event
+        if (event.kind == "started") return
+        endRecorded.complete(Unit)
+        endRecorded = CompletableDeferred()
+    }
+
     /** The body of the worker's next status report. */
     @Synchronized
     fun reportBody(service: String, draining: Boolean = false): String = buildJsonObject {
@@ -112,7 +132,7 @@
             add("a")
             add("r1-1")
         }
-        put("clockMs", clock())
+        put("clockMs", life.clockMs(clock()))
         put("born", startedAtMs)
         put("sequence", ++lastSequence)
     }.toString()
@@ -124,14 +144,24 @@
         val expected = call.headers["Expect-Instance"]
         if (expected != null && expected != id) return result(OTHER_BOOT)
         return try {
-            handle(wireObject(call.body))
+            val called = life
+            handle(wireObject(call.body)).also {
+                // The answer of a process that has ended never arrives.
+                if (called !== life) delay(UNANSWERED_MS)
+            }
         } catch (e: MalformedBody) {
             text(BAD_REQUEST, e.problem)
         }
     }
 
-    private suspend fun start(order: JsonObject): HttpResult {
+    private suspend fun start(body: JsonObject): HttpResult {
         val injected = synchronized(this) { fault(++startOrders) }
+        val order = StandInOrder(
+            body.text("task"),
+            body.long("run").toInt(),
+            body.long("deadlineMs"),
+            body.longOrNull("fencingToken") ?: 0
+        )
         if (injected.answerLost) {
             timer.schedule({ startNow(order) }, injected.delayMs, TimeUnit.MILLISECONDS)
             delay(UNANSWERED_MS)
@@ -139,57 +169,31 @@
         return startNow(order)?.let { result(CONFLICT) { put("reason", it) } } ?: result(OK)
     }
 
-    /** Starts the run. Returns the reason of a refusal, or null when it runs. */
     @Synchronized
-    private fun startNow(order: JsonObject): String? {
-        val task = order.text("task")
-        val run = order.long("run").toInt()
-        val term = order.longOrNull("fencingToken") ?: 0
-        if (term < highestTerm) return "fence"
-        highestTerm = term
-        val deadlineMs = order.long("deadlineMs")
-        if (deadlineMs < clock()) return "late"
-        leaseUntilMs = maxOf(leaseUntilMs, deadlineMs)
-        if (running[task]?.run == run) return null
-        if (run <= (highestRun[task] ?: 0)) return "old"
-        if (task in running) end(running.getValue(task), "broken")
-        val started = Running(task, run, order.textOrNull("spec").orEmpty())
-        running[task] = started
-        recorded += WorkerEvent("started", task, run)
-        timer.schedule({ finish(started) }, taskMs, TimeUnit.MILLISECONDS)
-        return null
+    private fun startNow(order: StandInOrder): String? {
+        val current = life
+        val isThere = StandInRun(order.task, order.run) in current.running
+        val refusal = current.start(order, clock())
+        if (refusal == null && !isThere) {
+            timer.schedule({ finish(current, order) }, taskMs, TimeUnit.MILLISECONDS)
+        }
+        return refusal
     }
 
     @Synchronized
-    private fun finish(run: Running) {
-        if (running[run.task] === run) end(run, "done")
+    private fun finish(current: StandInLife, order: StandInOrder) {
+        if (current === life) current.finish(order.task, order.run)
     }
 
     @Synchronized
-    private fun end(run: Running, kind: String) {
-        running.remove(run.task)
-        highestRun[run.task] = maxOf(highestRun[run.task] ?: 0, run.run)
-        ended += Ended(nextEndNumber++, run.task, run.run, kind)
-        recorded += WorkerEvent(kind, run.task, run.run)
-        endRecorded.complete(Unit)
-        endRecorded = CompletableDeferred()
-    }
+    private fun endIfLeaseLapsed() = life.endLapsed(clock())
 
     @Synchronized
-    private fun endIfLeaseLapsed() {
-        if (clock() > leaseUntilMs) running.values.toList().forEach { end(it, "lapsed") }
-    }
-
-    @Synchronized
-    private fun stopNow(order: JsonObject) {
-        val term = order.longOrNull("fencingToken") ?: 0
-        if (term < highestTerm) return
-        highestTerm = term
-        val task = order.text("task")
-        val run = order.long("run").toInt()
-        running[task]?.takeIf { it.run == run }?.let { end(it, "stopped") }
-        highestRun[task] = maxOf(highestRun[task] ?: 0, run)
-    }
+    private fun stopNow(order: JsonObject) = life.stop(
+        order.text("task"),
+        order.long("run").toInt(),
+        order.longOrNull("fencingToken") ?: 0
+    )
 
     private suspend fun stop(order: JsonObject): HttpResult {
         stopNow(order)
@@ -197,30 +201,29 @@
     }
 
     private suspend fun hold(request: JsonObject): HttpResult {
-        val nextEnd = acknowledge(request)
+        val nextEnd = holdNow(request)
         val waitMs = request.longOrNull("waitMs") ?: 0
         if (nextEnd != null && waitMs > 0) withTimeoutOrNull(waitMs) { nextEnd.await() }
         return runLists()
     }
 
-    /** Removes acknowledged ends. Returns what to wait for, or null when other ends remain. */
+    /** Carries out the request. Returns what to wait for, or null when ends can be listed. */
     @Synchronized
-    private fun acknowledge(request: JsonObject): CompletableDeferred<Unit>? {
-        val term = request.longOrNull("fencingToken") ?: 0
-        if (term >= highestTerm) {
-            highestTerm = term
-            request.longOrNull("deadlineMs")?.let { leaseUntilMs = maxOf(leaseUntilMs, it) }
-            val cursor = request.longOrNull("ackCursor") ?: 0
-            ended.removeAll { it.number <= cursor }
-        }
-        return endRecorded.takeIf { ended.isEmpty() }
+    private fun holdNow(request: JsonObject): CompletableDeferred<Unit>? {
+        life.hold(
+            request.longOrNull("fencingToken") ?: 0,
+            request.longOrNull("deadlineMs"),
+            request.longOrNull("ackCursor") ?: 0,
+            clock()
+        )
+        return endRecorded.takeIf { life.ended.isEmpty() }
     }
 
     @Synchronized
     private fun runLists(): HttpResult = result(OK) {
         put("born", startedAtMs)
         putJsonArray("running") {
-            running.values.forEach {
+            life.running.forEach {
                 addJsonArray {
                     add(it.task)
                     add(it.run)
@@ -230,7 +233,7 @@
             }
         }
         putJsonArray("endedRuns") {
-            ended.forEach {
+            life.ended.forEach {
                 addJsonArray {
                     add(it.number)
                     add(it.task)
@@ -242,9 +245,10 @@
         }
     }
 
+    @Synchronized
     private fun result(status: Int, build: JsonObjectBuilder.() -> Unit = {}): HttpResult =
         json(status) {
-            put("clockMs", clock())
+            put("clockMs", life.clockMs(clock()))
             build()
         }
 
--- a/src/test/kotlin/dev/jackdawdale/platform/PlatformContractTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/platform/PlatformContractTest.kt
@@ -128,6 +128,26 @@
             }
         }
 
+        test("a task is lost or done twice when its worker starts again under its old id") {
+            val workers = List(2) { StandInWorker("i-$it", taskMs = 1_000, firstClockMs = 500_000) }
+            platformCell(workers).use { cell ->
+                cell.open(configuration(5), SERVICE)
+                cell.caller("POST", "$QUEUE$JOB", job(1)).status shouldBe 200
+                eventually(10.seconds) { workers.flatMap { it.events }.size shouldBe 1 }
+                val restarted = workers.single { it.events.isNotEmpty() }
+                restarted.restart()
+                val report = restarted.reportBody(SERVICE)
+                cell.operator("PUT", "/instances/${restarted.id}", report).status shouldBe 200
+                eventually(60.seconds) {
+                    cell.caller("GET", "$QUEUE$JOB").body shouldContain "completed"
+                }
+                val events = workers.flatMap { it.events }
+                events.filter { it.kind == "lost" }.map { it.task } shouldBe listOf("$JOB.0.0.0")
+                val done = events.filter { it.kind == "done" }.map { it.task }.sorted()
+                done shouldBe listOf("0.0.0", "0.1.0", "0.1.1").map { "$JOB.$it" }
+            }
+        }
+
         test("a job that is cancelled before it is submitted never runs") {
             platformCell(listOf(StandInWorker("i-1"))).use { cell ->
                 cell.open(configuration(5), SERVICE)
