Count a job as begun only once a run of it is known to have started

Cause, shown by the tests: a run counted as at work, or as having run, wherever the leader had lost sight of its order. A run that was handed to a later process of its worker, and one that an earlier leader had placed, counted as at work whether or not its order had been confirmed; and the loss of a worker's process, by its lease or by a later process, ended each run as INTERRUPTED, which begins its job for good.

Ruled out: the ends that workers list; these show a start, and are read as before.

Change: what is known of the start of a run is kept over the handover (OfEarlierProcess.hasStarted); a run whose process is gone ends as INTERRUPTED if it is known to have started, else as UNCONFIRMED, or NEVER_RAN if its order was not sent. The start of a job's first run is recorded (JobBegun), so a new leader knows it and takes no inherited run for a start. The line about a later process tells how many of the runs had started.

ReconciliationTest: the row "of an earlier process, whose lease has expired" held for any run; it is now two rows, of which the one for a confirmed run demands INTERRUPTED as before.

--- a/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
@@ -2,6 +2,7 @@
 
 import dev.jackdawdale.model.Resources
 import dev.jackdawdale.staged.RunPlacement
+import dev.jackdawdale.staged.RunResult
 import dev.jackdawdale.staged.StageTaskId
 
 /** State of a start order at the leader. */
@@ -15,8 +16,10 @@
     /**
      * Placed on an earlier process under the worker's id, which may run it until [untilMs]. An
      * order for that process may still reach this one.
+     *
+     * @property hasStarted see [HeldRun.hasStarted]
      */
-    data class OfEarlierProcess(val untilMs: Long) : StartState
+    data class OfEarlierProcess(val untilMs: Long, val hasStarted: Boolean) : StartState
 
     /** Sent and not confirmed; can take effect until [expiresAtMs] on the worker's clock. */
     data class Sent(val expiresAtMs: Long) : StartState
@@ -25,18 +28,27 @@
     data class Confirmed(val atMs: Long) : StartState
 }
 
-/** Whether the worker has confirmed the run, or may have done so to an earlier leader. */
-internal val HeldRun.mayBeAtWork: Boolean
+/** Whether a process of the worker has shown this leader that the run has started. */
+internal val HeldRun.hasStarted: Boolean
     get() = when (start) {
-        StartState.Unsent, is StartState.Sent -> false
-        StartState.Inherited, is StartState.Confirmed, is StartState.OfEarlierProcess -> true
+        StartState.Unsent, StartState.Inherited, is StartState.Sent -> false
+        is StartState.OfEarlierProcess -> start.hasStarted
+        is StartState.Confirmed -> true
+    }
+
+/** The result of the run when its process is gone and has listed no end of it. */
+internal val HeldRun.resultLost: RunResult
+    get() = when {
+        hasStarted -> RunResult.INTERRUPTED
+        start == StartState.Unsent -> RunResult.NEVER_RAN
+        else -> RunResult.UNCONFIRMED
     }
 
 /** The run at a process that has the id of the one on which it was placed. */
 internal fun HeldRun.ofEarlierProcess(leasedUntilMs: Long): HeldRun {
     val earlierMs = (start as? StartState.OfEarlierProcess)?.untilMs ?: 0
     return copy(
-        start = StartState.OfEarlierProcess(maxOf(earlierMs, leasedUntilMs)),
+        start = StartState.OfEarlierProcess(maxOf(earlierMs, leasedUntilMs), hasStarted),
         stopRequested = true,
         stopSentMs = null,
         stopAcceptedMs = null
--- a/src/main/kotlin/dev/jackdawdale/push/Reconciliation.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/Reconciliation.kt
@@ -49,6 +49,7 @@
         val listed = running[taskId]?.takeIf { it.run == number }
         when {
             end != null && run.endsWith(end, nowMs) -> events += endOf(run, end)
+            end != null -> remaining[taskId] = run.started(nowMs)
             listed != null -> remaining[taskId] = run.confirmed(listed, nowMs)
             taskId in report.unclear -> remaining[taskId] = run
             !report.hasMoreEnds && run.cannotStart(report.clockMs, askedAtMs, nowMs) ->
@@ -62,7 +63,7 @@
 
 private val HeldRun.resultUnlisted: RunResult
     get() = when (start) {
-        is StartState.Confirmed, is StartState.OfEarlierProcess -> RunResult.INTERRUPTED
+        is StartState.Confirmed, is StartState.OfEarlierProcess -> resultLost
         else -> RunResult.NEVER_RAN
     }
 
@@ -81,11 +82,15 @@
     end.checkpoint.ifEmpty { run.checkpoint }
 )
 
-private fun HeldRun.confirmed(listed: ListedRun, nowMs: Long): HeldRun = copy(
+private fun HeldRun.started(nowMs: Long): HeldRun = copy(
     start = when (start) {
-        is StartState.Confirmed, is StartState.OfEarlierProcess -> start
+        is StartState.Confirmed -> start
+        is StartState.OfEarlierProcess -> start.copy(hasStarted = true)
         else -> StartState.Confirmed(nowMs)
-    },
+    }
+)
+
+private fun HeldRun.confirmed(listed: ListedRun, nowMs: Long): HeldRun = started(nowMs).copy(
     checkpoint = listed.checkpoint.ifEmpty { checkpoint },
     percent = listed.percent,
     progressMs = if (listed.percent != percent) nowMs else progressMs
--- a/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedControl.kt
@@ -223,13 +223,12 @@
         }
     }
 
-    /** A placement doesn't begin a job, as its order may be refused; a run does. */
     private fun progressOf(job: StagedJob): JobProgress = when (job.outcome) {
         JobOutcome.COMPLETED -> JobProgress.COMPLETED
         JobOutcome.FAILED -> JobProgress.FAILED
         JobOutcome.CANCELLED -> JobProgress.CANCELLED
         null -> {
-            val hasBegun = job.hasRun || leader?.isAtWork(job) ?: false
+            val hasBegun = leader?.hasBegun(job) ?: job.hasRun
             if (hasBegun) JobProgress.RUNNING else JobProgress.QUEUED
         }
     }
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -47,6 +47,7 @@
     private val placement = StepPlacement(context, orders, pauses, ledger, report, order)
     private val reports = RunReports(context, registry)
     private val stuck = StuckRuns(context)
+    private val starts = JobStarts(context)
     private val admission = JobAdmission(context, placement, order, nowMs)
     private var forgetDueMs = nowMs + FORGET_EVERY_MS
 
@@ -69,6 +70,7 @@
                 val isOfProcess = link.worker.boot == placement.workerBoot
                 link.hold(if (isOfProcess) run else run.ofEarlierProcess(leasedUntilMs))
             }
+            starts.placed(job.spec.jobId)
             placement.refresh(state, job.spec.jobId)
             stopUnwanted(state, job.spec.jobId)
         }
@@ -123,6 +125,7 @@
             is StagedEvent.TasksPlaced -> {
                 ledger.changed(event.stepId, before, pass.state.staged)
                 placement.refresh(pass.state.staged, event.stepId.jobId)
+                starts.placed(event.stepId.jobId)
             }
             else -> Unit
         }
@@ -193,6 +196,7 @@
     fun decide(pass: Pass) {
         val startNanos = System.nanoTime()
         context.drain.passed(pass.nowMs)
+        starts.record(pass)
         reports.expireLeases(pass)
         registry.answerLeaves(pass)
         stuck.moveStuck(pass)
@@ -214,10 +218,8 @@
         )
     }
 
-    /** Whether a run of the job is at work: confirmed, or left by an earlier leader. */
-    fun isAtWork(job: StagedJob): Boolean = job.placements().any { (taskId, placement) ->
-        links[placement.workerId]?.runOf(taskId, placement.run)?.mayBeAtWork ?: false
-    }
+    /** Whether a run of the job has started. */
+    fun hasBegun(job: StagedJob): Boolean = starts.hasBegun(job)
 
     fun workerRegistered(pass: Pass, registration: WorkerRegistration, onDurable: () -> Unit) =
         registry.workerRegistered(pass, registration, onDurable)
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
@@ -75,11 +75,12 @@
      */
     fun replaceProcess(pass: Pass, link: WorkerLink, worker: PushWorker): WorkerLink {
         log.info(
-            "worker {} boot {} is followed by boot {}, with {} runs",
+            "worker {} boot {} is followed by boot {}, with {} runs, {} of them started",
             worker.workerId,
             link.worker.boot,
             worker.boot,
-            link.held.size
+            link.held.size,
+            link.held.values.count { it.hasStarted }
         )
         val (unsent, sent) = link.held.values.partition { it.start == StartState.Unsent }
         unsent.forEach { run ->
@@ -150,12 +151,11 @@
         context.emit(pass, StagedEvent.WorkerLeft(worker.workerId, worker.boot))
     }
 
-    /** Ends the runs of a worker whose lease has expired, as interrupted. */
+    /** Ends the runs of a worker whose lease has expired. */
     fun interruptAll(pass: Pass, link: WorkerLink) {
         link.held.values.toList().forEach { run ->
             val number = run.placement.run
-            val end =
-                StagedEvent.RunEnded(run.taskId, number, RunResult.INTERRUPTED, run.checkpoint)
+            val end = StagedEvent.RunEnded(run.taskId, number, run.resultLost, run.checkpoint)
             context.endRun(pass, end, EndEvidence.LEASE_EXPIRED)
         }
     }
--- a/src/main/kotlin/dev/jackdawdale/staged/ApplyStaged.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/ApplyStaged.kt
@@ -9,6 +9,7 @@
     is StagedEvent.JobAccepted -> accept(event, atMs)
     is StagedEvent.OccurrenceBegun -> change(event.jobId, atMs) { it.begin(event.number) }
     is StagedEvent.JobCancelled -> cancel(event.jobId, atMs)
+    is StagedEvent.JobBegun -> change(event.jobId, atMs) { it.copy(hasRun = true) }
     is StagedEvent.TasksPlaced -> change(event.stepId.jobId, atMs) { it.place(event, atMs) }
     is StagedEvent.RunEnded -> change(event.taskId.stepId.jobId, atMs) { it.endRun(event) }
     is StagedEvent.WorkerRegistered ->
@@ -147,8 +148,12 @@
 private fun StagedJob.endRun(event: StagedEvent.RunEnded): StagedJob {
     val spec = spec.steps.getOrNull(event.taskId.stepId.step) ?: return this
     val changed = changeStep(event.taskId.stepId) { it.endRun(event, spec) }
-    val hasEndedRun = event.result != RunResult.NEVER_RAN && changed != this
-    return if (hasEndedRun) changed.copy(hasRun = true) else changed
+    val hasStarted = changed != this &&
+        when (event.result) {
+            RunResult.SUCCEEDED, RunResult.FAILED, RunResult.INTERRUPTED -> true
+            RunResult.UNCONFIRMED, RunResult.NEVER_RAN -> false
+        }
+    return if (hasStarted) changed.copy(hasRun = true) else changed
 }
 
 private fun StageStep.endRun(event: StagedEvent.RunEnded, spec: StepSpec): StageStep {
--- a/src/main/kotlin/dev/jackdawdale/staged/StagedEvent.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/StagedEvent.kt
@@ -30,6 +30,11 @@
     @SerialName("jobCancelled")
     data class JobCancelled(val jobId: String) : StagedEvent
 
+    /** A run of the job has started. */
+    @Serializable
+    @SerialName("jobBegun")
+    data class JobBegun(val jobId: String) : StagedEvent
+
     /** Tasks of one step were placed, all with the same run number; they occupy capacity. */
     @Serializable
     @SerialName("tasksPlaced")
--- a/src/main/kotlin/dev/jackdawdale/staged/StagedState.kt
+++ b/src/main/kotlin/dev/jackdawdale/staged/StagedState.kt
@@ -22,6 +22,9 @@
     /** Stopped by order, or ended with its lease, its gang or its worker; counts as no attempt. */
     INTERRUPTED,
 
+    /** Ended with its worker, which had not confirmed its start to the leader; no attempt. */
+    UNCONFIRMED,
+
     /** The worker refused the order, or the order can no longer take effect. */
     NEVER_RAN
 }
@@ -93,7 +96,7 @@
  *
  * @property terms the queue's terms when the job was accepted
  * @property startedAtMs when its first task was placed; that order may have been refused
- * @property hasRun whether a run of it has ended, other than by never starting
+ * @property hasRun whether a run of it is known to have started
  * @property occurrences occurrences that have begun, by number
  * @property owner null when it was submitted without a key to a public queue, or where no customers
  *   are configured
--- a/src/test/kotlin/dev/jackdawdale/push/ReconciliationTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/ReconciliationTest.kt
@@ -79,18 +79,32 @@
                 ),
                 AbsentCase(
                     "of an earlier process, its order may still arrive here",
-                    held(StartState.OfEarlierProcess(NOW_MS - 1)),
+                    held(StartState.OfEarlierProcess(NOW_MS - 1, hasStarted = false)),
                     null
                 ),
                 AbsentCase(
                     "of an earlier process, whose lease holds",
-                    held(StartState.OfEarlierProcess(NOW_MS), stopAcceptedMs = ASKED_AT_MS),
+                    held(
+                        StartState.OfEarlierProcess(NOW_MS, hasStarted = false),
+                        stopAcceptedMs = ASKED_AT_MS
+                    ),
                     null
                 ),
                 AbsentCase(
-                    "of an earlier process, whose lease has expired",
-                    held(StartState.OfEarlierProcess(NOW_MS - 1), stopAcceptedMs = ASKED_AT_MS),
+                    "of an earlier process that had confirmed it, whose lease has expired",
+                    held(
+                        StartState.OfEarlierProcess(NOW_MS - 1, hasStarted = true),
+                        stopAcceptedMs = ASKED_AT_MS
+                    ),
                     RunResult.INTERRUPTED
+                ),
+                AbsentCase(
+                    "of an earlier process that had not confirmed it, whose lease has expired",
+                    held(
+                        StartState.OfEarlierProcess(NOW_MS - 1, hasStarted = false),
+                        stopAcceptedMs = ASKED_AT_MS
+                    ),
+                    RunResult.UNCONFIRMED
                 )
             ) { case ->
                 val reconciled = reconcile(case.run, report())
--- a/src/test/kotlin/dev/jackdawdale/staged/ApplyStagedTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/staged/ApplyStagedTest.kt
@@ -41,6 +41,8 @@
 
 private class OutcomeCase(val name: String, val events: List<StagedEvent>, val outcome: JobOutcome?)
 
+private class BegunCase(val name: String, val event: StagedEvent, val hasRun: Boolean)
+
 class ApplyStagedTest :
     FunSpec({
         context("the outcome of a job follows from the ends of its runs") {
@@ -122,6 +124,26 @@
             }
         }
 
+        context("only what shows that a run has started begins a job") {
+            withData(
+                nameFn = { it.name },
+                BegunCase("the start of a run", StagedEvent.JobBegun(JOB), true),
+                BegunCase("a success", ended(0, 1, RunResult.SUCCEEDED), true),
+                BegunCase("a failure", ended(0, 1, RunResult.FAILED), true),
+                BegunCase("an interrupted run", ended(0, 1, RunResult.INTERRUPTED), true),
+                BegunCase(
+                    "a run that was not confirmed",
+                    ended(0, 1, RunResult.UNCONFIRMED),
+                    false
+                ),
+                BegunCase("a refused order", ended(0, 1, RunResult.NEVER_RAN), false),
+                BegunCase("the end of an older run", ended(0, 0, RunResult.SUCCEEDED), false)
+            ) { case ->
+                stateAfter(accepted(single), placed(1, 0), case.event)
+                    .active.getValue(JOB).hasRun shouldBe case.hasRun
+            }
+        }
+
         test("the end of an older run ends the current one") {
             val state = stateAfter(accepted(single), placed(2, 0))
             state.apply(ended(0, 1, RunResult.SUCCEEDED), 2_000) shouldBe state
