--- a/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
@@ -185,7 +185,7 @@
                     expired.size,
                     link.held.size - expired.size
                 )
-                registry.interrupt(pass, expired)
+                registry.endExpired(pass, expired)
             }
             if (link.held.isNotEmpty()) continue
             val silentMs = pass.nowMs - link.heardMs
--- a/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WorkerRegistry.kt
@@ -77,11 +77,12 @@
      */
     fun replaceProcess(pass: Pass, link: WorkerLink, worker: PushWorker): WorkerLink {
         log.info(
-            "worker {} boot {} is followed by boot {}, with {} runs",
+            "worker {} boot {} is followed by boot {}, with {} runs, {} of them started",
             worker.workerId,
             link.worker.boot,
             worker.boot,
-            link.held.size
+            link.held.size,
+            link.held.values.count { it.hasStarted }
         )
         val (unsent, sent) = link.held.values.partition { it.start == StartState.Unsent }
         unsent.forEach { run ->
@@ -152,12 +153,11 @@
         context.emit(pass, StagedEvent.WorkerLeft(worker.workerId, worker.boot))
     }
 
-    /** Ends runs of a worker whose lease has expired, as interrupted. */
-    fun interrupt(pass: Pass, runs: List<HeldRun>) {
+    /** Ends runs of a worker whose lease has expired. */
+    fun endExpired(pass: Pass, runs: List<HeldRun>) {
         runs.forEach { run ->
             val number = run.placement.run
-            val end =
-                StagedEvent.RunEnded(run.taskId, number, RunResult.INTERRUPTED, run.checkpoint)
+            val end = StagedEvent.RunEnded(run.taskId, number, run.resultLost, run.checkpoint)
             context.endRun(pass, end, EndEvidence.LEASE_EXPIRED)
         }
     }
