Let a job without a run in an idle cell go ahead of what is kept for others

Cause: holds that share out a full cell had no bound in time and stayed in force in an idle one. What one step keeps, claims or waits for held another one back for as long as the first one waited.

Ruled out by rows that passed before: the hold after failures, workers that fail everything, a host whose calls are lost, work that is of no use any more.

Change: IdleSteps measures how long a job has had no run while under half of its service's processors are in use. After 1 s its steps use room that is kept for later starts and, while its customer uses under half of its ceiling, what others claim below it. After 2 s they wait no longer for a better place, for a gang of their customer, or, beyond the rate, for the steps of others. A full cell is shared out as before.

Evidence: IdleWaitsTest on the code before fails in 5 of 9 rows; the jobs had no run for 7.8 s (a full rack), 10.5 s (room for a later gang), 9.6 s (a ceiling kept for a gang), 10.5 s (a ceiling claimed by a gang) and 17.0 s (beyond the rate), three of them until the test ended. With the change all rows pass, 2.1 s at most in the rows measured.

--- a/src/main/kotlin/dev/jackdawdale/push/AdviceRequests.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceRequests.kt
@@ -55,13 +55,14 @@
 
 /**
  * Room that is reserved from then on can't be used by the step. Tasks that would be late after a
- * short wait use it all the same: they are small, and the gang has time.
+ * short wait use it all the same: they are small, and the gang has time. So does a step that goes
+ * ahead of later starts.
  */
 private fun ReadyStep.backfillUntilMs(nowMs: Long): Long {
     val leftMs = latestStartMs - nowMs
     val tookMs = (spec.estimatedMs * BACKFILL_FACTOR).toLong() + BACKFILL_SLACK_MS
     return when {
-        !spec.gang && leftMs in 0 until URGENT_MS -> nowMs
+        goesAhead || !spec.gang && leftMs in 0 until URGENT_MS -> nowMs
         spec.estimatedMs > 0 -> nowMs + tookMs
         else -> Long.MAX_VALUE
     }
@@ -155,7 +156,7 @@
 
     /** Others may use the room for which a step beyond the rate waits. */
     private fun mayReserve(round: PlacementRound, step: ReadyStep): Boolean =
-        round.gateOpen || !step.job.beyondRate
+        round.gateOpen || !step.job.beyondRate || step.endsHolds
 
     /**
      * Whether a call about the step may be made now. Long calls of steps that are too late to be
@@ -163,6 +164,7 @@
      */
     fun mayCall(step: ReadyStep, terms: AdviceTerms, nowMs: Long): Boolean =
         nowMs <= step.worthlessAfterMs ||
+            step.goesAhead ||
             reservations.planOf(step.id) != null ||
             !reservations.isEnabled ||
             !isLongCall(terms) ||
@@ -178,6 +180,7 @@
 
     private fun asksFurther(step: ReadyStep, usable: List<WorkerLink>, nowMs: Long): Boolean =
         !reservations.plans(step) ||
+            step.goesAhead ||
             !context.advice.isAnswered(step.id) ||
             asksFurther(
                 reservations.planOf(step.id)?.startMs,
--- a/src/main/kotlin/dev/jackdawdale/push/CustomerLedger.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/CustomerLedger.kt
@@ -64,15 +64,20 @@
     private val claims = HashMap<CustomerId, CustomerUse>()
     private val favored = HashMap<CustomerId, ReadyStep>()
 
-    /** Number of waiting tasks of the step that may start; of a gang, all or none. */
+    /**
+     * Number of waiting tasks of the step that may start; of a gang, all or none. If the customer
+     * uses under half of its ceiling, a step that goes ahead ignores what others are to use later.
+     */
     fun tasksAllowed(step: ReadyStep): Int {
         val waiting = step.waiting.size
         val contract = step.customerId?.let(contracts::get) ?: return waiting
         val use = ledger.use(contract.customerId)
-        val kept = favored[contract.customerId]?.takeIf { it.id != step.id }
+        val isIdle = use.allows(contract, use.held, use.tasks)
+        val kept = favored[contract.customerId]
+            ?.takeIf { it.id != step.id && !(isIdle && step.endsHolds) }
             ?.let { CustomerUse().withTasks(it.spec.perTask, it.waiting.size) }
-        val planned = listOfNotNull(claims[contract.customerId], kept)
-            .fold(use) { sum, part -> sum + part }
+        val claimed = claims[contract.customerId].takeIf { !(isIdle && step.goesAhead) }
+        val planned = listOfNotNull(claimed, kept).fold(use) { sum, part -> sum + part }
         val allowed = planned.countAllowed(contract, step.spec.perTask, waiting)
         return if (step.spec.gang && allowed < waiting) 0 else allowed
     }
--- a/src/main/kotlin/dev/jackdawdale/push/ReadyStep.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/ReadyStep.kt
@@ -25,6 +25,7 @@
  * @property waiting indexes of the tasks without a placement
  * @property latestStartMs a start after this time makes the job late
  * @property worthlessAfterMs a start after this time is worth nothing to the caller
+ * @property idleMs how long its job has had no run in an idle cell, see [IdleSteps]
  */
 internal data class ReadyStep(
     val id: StepId,
@@ -33,7 +34,8 @@
     val step: StageStep,
     val waiting: List<Int>,
     val latestStartMs: Long,
-    val worthlessAfterMs: Long
+    val worthlessAfterMs: Long,
+    val idleMs: Long = 0
 )
 
 /** The steps of [job] that have waiting tasks and whose earlier steps are complete. */
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -27,6 +27,7 @@
     private val ready = HashMap<String, List<ReadyStep>>()
     private val reservations = StepReservations(context)
     private val requests = AdviceRequests(context, reservations)
+    private val idle = IdleSteps()
     val waits = StepWaits()
 
     val waitingSteps: Int get() = ready.values.sumOf { it.size }
@@ -34,6 +35,10 @@
     /** The steps that wait and are not held back, in no order. */
     fun waiting(nowMs: Long): List<ReadyStep> =
         ready.values.flatten().mapNotNull { context.failing.limit(it, nowMs) }
+            .map { withIdleTime(it, nowMs) }
+
+    private fun withIdleTime(step: ReadyStep, nowMs: Long): ReadyStep =
+        step.copy(idleMs = idle.idleMs(step.id.jobId, step.job.terms.service, nowMs))
 
     /** Updates which steps of the job may start. */
     fun refresh(state: StagedState, jobId: String) {
@@ -45,12 +50,17 @@
             context.failing.forget(jobId)
         }
         if (steps.isEmpty()) ready.remove(jobId) else ready[jobId] = steps
+        idle.refresh(jobId, job, steps.isNotEmpty(), context.nowMs())
         waits.waiting(jobId, steps.map { it.id }, context.nowMs())
     }
 
     /** Places waiting steps, the most urgent first, and requests missing advice. */
     fun place(pass: Pass) {
         val nowMs = pass.nowMs
+        val usable = context.links.values.filter {
+            it.isUsable(nowMs)
+        }.groupBy { it.worker.service }
+        idle.beginPass(usable, nowMs)
         val ceilings = CeilingCheck(ledger, pass.state.staged.contracts)
         val waiting = ranking.ranked(
             waiting(nowMs).filter { pauses.leftMs(it.id.jobId, nowMs) <= 0 },
@@ -64,12 +74,10 @@
         favorOverdueGangs(waiting, ceilings, nowMs)
         val gateOpen = ranking.isGateOpen(nowMs)
         val (eligible, heldBack) = waiting.map { it.step }.partition { step ->
-            (gateOpen || !step.job.beyondRate) && ceilings.tasksAllowed(step) > 0
+            (gateOpen || !step.job.beyondRate || step.endsHolds) &&
+                ceilings.tasksAllowed(step) > 0
         }
         heldBack.forEach { reservations.drop(it.id) }
-        val usable = context.links.values.filter {
-            it.isUsable(nowMs)
-        }.groupBy { it.worker.service }
         val reserved = reservations.beginPass(eligible, usable, nowMs)
         val round = PlacementRound(pass, reserved, ceilings, gateOpen)
         for (ranked in waiting) {
@@ -195,6 +203,7 @@
         val waitsForOthers = tasksAllowed > 0 &&
             !isQueued &&
             step.job.beyondRate &&
+            !step.endsHolds &&
             !ranking.mayUseSpare(round)
         when {
             tasksAllowed == 0 -> recordSkipped(step, nowMs) {
--- a/src/test/kotlin/dev/jackdawdale/push/SimulatedCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/SimulatedCell.kt
@@ -51,6 +51,8 @@
  * @param configuration configuration at the start, if any
  * @param speedOf speed of a worker: its runs take the run time divided by it, and all members of a
  *   gang that of its slowest member
+ * @param endOf how a run ends that is not stopped
+ * @param answersCall whether the adviser answers a call that begins at the given time
  */
 internal class SimulatedCell(
     workers: List<PushWorker>,
@@ -62,6 +64,8 @@
     configuration: StagedEvent.Configured? = null,
     private val settings: PushSettings = PushSettings(),
     private val speedOf: (workerId: String) -> Double = { 1.0 },
+    private val endOf: (StageTaskId, run: Int) -> ListedEnd = { _, _ -> ListedEnd.DONE },
+    private val answersCall: (AdviceCall, nowMs: Long) -> Boolean = { _, _ -> true },
     private val runMs: (StageTaskId) -> Long
 ) {
     private val timers = PriorityQueue<Timer>(compareBy({ it.atMs }, { it.number }))
@@ -113,6 +117,12 @@
         }
     }
 
+    /** Whether the policy of the job's queue allows the step on the worker. */
+    fun allows(stepId: StepId, workerId: String): Boolean {
+        val percent = allowedPercent.getValue(queueOf.getValue(stepId.jobId))
+        return abs((stepId to workerId).hashCode() % PERCENT) < percent
+    }
+
     private fun after(delayMs: Long, action: () -> Unit) {
         timers += Timer(nowMs + delayMs, lastNumber++, action)
     }
@@ -130,11 +140,9 @@
             workers += call.asked.size
             hostMs += endMs + adviserDelayMs - nowMs
         }
-        val percent = allowedPercent.getValue(queue)
         val ticket = TicketText(call.stepId.toString(), endMs + call.terms.validMs)
-        val given = call.asked.filter { candidate ->
-            abs((call.stepId to candidate.workerId).hashCode() % PERCENT) < percent
-        }
+        val given = call.asked.filter { allows(call.stepId, it.workerId) }
+        if (!answersCall(call, beginMs)) return true
         after(endMs + adviserDelayMs - nowMs) {
             val tickets = given.associate { it.workerId to ticket.text }
             leader.adviceAnswered(call, AdviceResult.Given(tickets))
@@ -194,7 +202,7 @@
             if (used.cpuMillis > capacity.cpuMillis || used.memoryMib > capacity.memoryMib) {
                 overfilled++
             }
-            after(run.runMs) { end(order.taskId, order.run, ListedEnd.DONE) }
+            after(run.runMs) { end(order.taskId, order.run, endOf(order.taskId, order.run)) }
             return StartResult.Started
         }
 
