Tell what keeps a step without a run: failed runs, kept room, idle time

Cause: a step whose runs only fail was counted under no reason, a step without room looked the same whether the workers were full or their room was kept for others, and no line told for how long a job had no run in an idle cell.

Change: reason `failing` in the load line, the metrics and the lines of waiting steps; `kept for others N` behind `no room`; `no run for T ms` in the lines of waiting steps.

Evidence: rows of WaitReasonTest and StepWaitsTest.

--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -87,7 +87,7 @@
         context.advice.dispatch(hosts, nowMs)
         reservations.endPass()
         if (waits.isDue(nowMs)) {
-            ready.values.flatten().forEach { recordPaused(it, nowMs) }
+            ready.values.flatten().forEach { recordHeld(withIdleTime(it, nowMs), nowMs) }
             waits.report(nowMs) { context.advice.facts(it, nowMs) }
             context.dependencies.meters.setWaitingSteps(waits.byReason)
             val staged = pass.state.staged
@@ -111,10 +111,12 @@
             .forEach(ceilings::favor)
     }
 
-    private fun recordPaused(step: ReadyStep, nowMs: Long) {
+    /** Records for the log the steps that are not even considered in this pass. */
+    private fun recordHeld(step: ReadyStep, nowMs: Long) {
         val pausedForMs = pauses.leftMs(step.id.jobId, nowMs)
-        if (pausedForMs <= 0) return
-        recordSkipped(step, nowMs) { copy(pausedForMs = pausedForMs) }
+        val isFailing = context.failing.limit(step, nowMs) == null
+        if (pausedForMs <= 0 && !isFailing) return
+        recordSkipped(step, nowMs) { copy(pausedForMs = pausedForMs, isFailing = isFailing) }
     }
 
     /** Records for the log why no workers were chosen for a step. */
@@ -131,7 +133,8 @@
         tasks = step.tasks.size,
         gang = spec.gang,
         advice = job.terms.advice?.let { AdviceFacts() },
-        customerId = customerId
+        customerId = customerId,
+        idleMs = idleMs
     )
 
     private fun place(round: PlacementRound, ranked: RankedStep, usable: List<WorkerLink>) {
@@ -239,7 +242,11 @@
             ceiling = round.ceilings.facts(step).takeIf {
                 choice.tasks.size < step.waiting.size && choice.placesAll
             },
-            waitingForPlace = choice.place.waiting
+            waitingForPlace = choice.place.waiting,
+            keptMillis = choice.workers.sumOf { worker ->
+                val free = context.links[worker.workerId]?.free?.cpuMillis ?: 0
+                free - worker.free.cpuMillis
+            }
         )
         waits.record(step.id, facts) {
             fillWorkers(step.spec, choice.tasks, choice.workers).size - placed
--- a/src/main/kotlin/dev/jackdawdale/push/StepWaits.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepWaits.kt
@@ -87,8 +87,10 @@
             lines.line(nowMs, wait.stepId.jobId) {
                 val facts = wait.facts
                 val gang = if (facts.gang) ", gang" else ""
+                val idle = if (facts.idleMs > 0) ", no run for ${facts.idleMs} ms" else ""
                 "step ${wait.stepId.step} waits ${nowMs - wait.sinceMs} ms, " +
-                    "${facts.waiting} of ${facts.tasks} tasks$gang: ${facts.describe(wait.fitting)}"
+                    "${facts.waiting} of ${facts.tasks} tasks$gang$idle: " +
+                    facts.describe(wait.fitting)
             }
         }
     }
--- a/src/main/kotlin/dev/jackdawdale/push/WaitReason.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/WaitReason.kt
@@ -9,6 +9,9 @@
     /** Placements of the job pause briefly after a worker refused an order. */
     PAUSED,
 
+    /** The step's runs only fail; those that decide whether it can succeed go on. */
+    FAILING,
+
     /** The customer uses its ceiling up; a gang waits until it fits below as a whole. */
     CEILING,
 
@@ -48,6 +51,9 @@
  * @property ceiling set when the customer's ceiling holds the step back
  * @property isBeyondRate the step waits as others do that are within their customer's rate
  * @property advice null when the step needs none
+ * @property isFailing the step is held back, as its runs only fail
+ * @property idleMs how long the job has had no run in an idle cell
+ * @property keptMillis thousandths of free processors on [allowed] that are kept for other steps
  */
 internal data class WaitFacts(
     val waiting: Int,
@@ -64,7 +70,10 @@
     val ceiling: CeilingFacts? = null,
     val isBeyondRate: Boolean = false,
     val advice: AdviceFacts? = null,
-    val customerId: CustomerId? = null
+    val customerId: CustomerId? = null,
+    val isFailing: Boolean = false,
+    val idleMs: Long = 0,
+    val keptMillis: Long = 0
 )
 
 /**
@@ -135,6 +144,7 @@
 
 internal fun WaitFacts.reason(): WaitReason = when {
     pausedForMs > 0 -> WaitReason.PAUSED
+    isFailing -> WaitReason.FAILING
     ceiling != null -> WaitReason.CEILING
     isBeyondRate -> WaitReason.BEYOND_RATE
     advice != null && advice.asked == 0 -> WaitReason.NO_ANSWER
@@ -154,6 +164,7 @@
     val calls = advice?.let { ", ${it.describe()}" }.orEmpty()
     return when (reason()) {
         WaitReason.PAUSED -> "paused for $pausedForMs ms after a refusal"
+        WaitReason.FAILING -> "its runs only fail, and the first ones are not decided"
         WaitReason.CEILING -> ceiling?.describe().orEmpty()
         WaitReason.BEYOND_RATE -> "beyond its customer's rate while others wait"
         WaitReason.NO_ANSWER -> "no answer of the adviser yet, $usable workers to ask about$calls"
@@ -162,7 +173,9 @@
         WaitReason.LOCALITY -> "$waitingForPlace tasks wait for room near their data or group"
         WaitReason.NO_ROOM -> {
             val known = advice?.let { ", ${it.asked} asked" }.orEmpty()
-            "no room: ${fitting()} tasks fit on $allowed allowed of $usable workers$known$calls"
+            val kept = if (keptMillis > 0) ", kept for others $keptMillis" else ""
+            "no room: ${fitting()} tasks fit on $allowed allowed of $usable workers" +
+                "$kept$known$calls"
         }
         WaitReason.NO_TICKETS -> {
             val held = "${advice?.ticketed ?: 0} of $allowed allowed hold one"
--- a/src/test/kotlin/dev/jackdawdale/push/StepWaitsTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/StepWaitsTest.kt
@@ -84,6 +84,14 @@
             recorded.lines.single() shouldContain "step 0 waits 100 ms"
         }
 
+        test("a step that waits in an idle cell looks like one that waits in a full one") {
+            val recorded = Recorded()
+            recorded.waits.waiting("j000", listOf(stepId(0)), 1_000)
+            recorded.waits.record(stepId(0), noRoom.copy(idleMs = 700)) { 1 }
+            recorded.waits.report(2_000) { AdviceFacts() }
+            recorded.lines.single() shouldContain "2 of 2 tasks, gang, no run for 700 ms: no room"
+        }
+
         test("the counts by reason omit steps without a line") {
             val recorded = Recorded()
             recorded.begin()
--- a/src/test/kotlin/dev/jackdawdale/push/WaitReasonTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/WaitReasonTest.kt
@@ -41,6 +41,18 @@
                 WaitReason.NO_ROOM,
                 "no room: 12 tasks fit on 100 allowed of 100 workers"
             ),
+            Row(
+                "missing advice while its runs only fail",
+                step.copy(isFailing = true, advice = AdviceFacts()),
+                WaitReason.FAILING,
+                "its runs only fail, and the first ones are not decided"
+            ),
+            Row(
+                "a full cell while room is kept for others",
+                step.copy(allowed = 100, keptMillis = 48_000),
+                WaitReason.NO_ROOM,
+                "no room: 12 tasks fit on 100 allowed of 100 workers, kept for others 48000"
+            ),
             Row(
                 "missing tickets when the gang does not fit",
                 step.copy(
