--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -27,6 +27,7 @@
     private val ready = HashMap<String, List<ReadyStep>>()
     private val reservations = StepReservations(context)
     private val requests = AdviceRequests(context, reservations)
+    private val idle = IdleSteps()
     val waits = StepWaits()
 
     val waitingSteps: Int get() = ready.values.sumOf { it.size }
@@ -34,6 +35,10 @@
     /** The steps that wait and are not held back, in no order. */
     fun waiting(nowMs: Long): List<ReadyStep> =
         ready.values.flatten().mapNotNull { context.failing.limit(it, nowMs) }
+            .map { withIdleTime(it, nowMs) }
+
+    private fun withIdleTime(step: ReadyStep, nowMs: Long): ReadyStep =
+        step.copy(idleMs = idle.idleMs(step.id.jobId, step.job.terms.service, nowMs))
 
     /** Updates which steps of the job may start. */
     fun refresh(state: StagedState, jobId: String) {
@@ -45,12 +50,17 @@
             context.failing.forget(jobId)
         }
         if (steps.isEmpty()) ready.remove(jobId) else ready[jobId] = steps
+        idle.refresh(jobId, job, steps.isNotEmpty(), context.nowMs())
         waits.waiting(jobId, steps.map { it.id }, context.nowMs())
     }
 
     /** Places waiting steps, the most urgent first, and requests missing advice. */
     fun place(pass: Pass) {
         val nowMs = pass.nowMs
+        val usable = context.links.values.filter {
+            it.isUsable(nowMs)
+        }.groupBy { it.worker.service }
+        idle.beginPass(usable, nowMs)
         val ceilings = CeilingCheck(ledger, pass.state.staged.contracts)
         val waiting = ranking.ranked(
             waiting(nowMs).filter { pauses.leftMs(it.id.jobId, nowMs) <= 0 },
@@ -64,12 +74,10 @@
         favorOverdueGangs(waiting, ceilings, nowMs)
         val gateOpen = ranking.isGateOpen(nowMs)
         val (eligible, heldBack) = waiting.map { it.step }.partition { step ->
-            (gateOpen || !step.job.beyondRate) && ceilings.tasksAllowed(step) > 0
+            (gateOpen || !step.job.beyondRate || step.endsHolds) &&
+                ceilings.tasksAllowed(step) > 0
         }
         heldBack.forEach { reservations.drop(it.id) }
-        val usable = context.links.values.filter {
-            it.isUsable(nowMs)
-        }.groupBy { it.worker.service }
         val reserved = reservations.beginPass(eligible, usable, nowMs)
         val round = PlacementRound(pass, reserved, ceilings, gateOpen)
         for (ranked in waiting) {
@@ -79,7 +87,7 @@
         context.advice.dispatch(hosts, nowMs)
         reservations.endPass()
         if (waits.isDue(nowMs)) {
-            ready.values.flatten().forEach { recordPaused(it, nowMs) }
+            ready.values.flatten().forEach { recordHeld(withIdleTime(it, nowMs), nowMs) }
             waits.report(nowMs) { context.advice.facts(it, nowMs) }
             context.dependencies.meters.setWaitingSteps(waits.byReason)
             val staged = pass.state.staged
@@ -103,10 +111,12 @@
             .forEach(ceilings::favor)
     }
 
-    private fun recordPaused(step: ReadyStep, nowMs: Long) {
+    /** Records for the log the steps that are not even considered in this pass. */
+    private fun recordHeld(step: ReadyStep, nowMs: Long) {
         val pausedForMs = pauses.leftMs(step.id.jobId, nowMs)
-        if (pausedForMs <= 0) return
-        recordSkipped(step, nowMs) { copy(pausedForMs = pausedForMs) }
+        val isFailing = context.failing.limit(step, nowMs) == null
+        if (pausedForMs <= 0 && !isFailing) return
+        recordSkipped(step, nowMs) { copy(pausedForMs = pausedForMs, isFailing = isFailing) }
     }
 
     /** Records for the log why no workers were chosen for a step. */
@@ -123,7 +133,8 @@
         tasks = step.tasks.size,
         gang = spec.gang,
         advice = job.terms.advice?.let { AdviceFacts() },
-        customerId = customerId
+        customerId = customerId,
+        idleMs = idleMs
     )
 
     private fun place(round: PlacementRound, ranked: RankedStep, usable: List<WorkerLink>) {
@@ -195,6 +206,7 @@
         val waitsForOthers = tasksAllowed > 0 &&
             !isQueued &&
             step.job.beyondRate &&
+            !step.endsHolds &&
             !ranking.mayUseSpare(round)
         when {
             tasksAllowed == 0 -> recordSkipped(step, nowMs) {
@@ -230,7 +242,11 @@
             ceiling = round.ceilings.facts(step).takeIf {
                 choice.tasks.size < step.waiting.size && choice.placesAll
             },
-            waitingForPlace = choice.place.waiting
+            waitingForPlace = choice.place.waiting,
+            keptMillis = choice.workers.sumOf { worker ->
+                val free = context.links[worker.workerId]?.free?.cpuMillis ?: 0
+                free - worker.free.cpuMillis
+            }
         )
         waits.record(step.id, facts) {
             fillWorkers(step.spec, choice.tasks, choice.workers).size - placed
