Keep what a later process lists of an earlier one's run

Seen by: reading, while looking for other places at which knowledge of a run is lost over the handover to a later process.

Cause: a run that was handed over ends no sooner than the earlier lease. An end that the later process lists before (a late order ran there) was acknowledged, so it isn't listed again, and then dropped: a failure didn't count as an attempt (BUDGET would allow one start more), and a checkpoint was lost. Only a success was taken at once.

Ruled out: leaving such an end unacknowledged. The worker would answer each report at once until the lease ends.

Change: the handed-over run keeps the failure and the checkpoint until it ends. Open: a leader change in between loses the failure, as it is kept in memory.

Evidence: ReconciliationTest, "what a later process lists of an earlier one's run is lost with its end": on the rows failure, stop and expired lease fail (FAILED with "saved" expected, INTERRUPTED without a checkpoint seen), the row success passes; all pass now, with PendingAfterRestartTest and RunEvidenceTest.

--- a/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/HeldRun.kt
@@ -18,8 +18,13 @@
      * order for that process may still reach this one.
      *
      * @property hasStarted see [HeldRun.hasStarted]
+     * @property hasFailed whether a later process has listed the run as failed
      */
-    data class OfEarlierProcess(val untilMs: Long, val hasStarted: Boolean) : StartState
+    data class OfEarlierProcess(
+        val untilMs: Long,
+        val hasStarted: Boolean,
+        val hasFailed: Boolean = false
+    ) : StartState
 
     /** Sent and not confirmed; can take effect until [expiresAtMs] on the worker's clock. */
     data class Sent(val expiresAtMs: Long) : StartState
@@ -39,6 +44,7 @@
 /** The result of the run when its process is gone and has listed no end of it. */
 internal val HeldRun.resultLost: RunResult
     get() = when {
+        start is StartState.OfEarlierProcess && start.hasFailed -> RunResult.FAILED
         hasStarted -> RunResult.INTERRUPTED
         start == StartState.Unsent -> RunResult.NEVER_RAN
         else -> RunResult.UNCONFIRMED
@@ -46,9 +52,13 @@
 
 /** The run at a process that has the id of the one on which it was placed. */
 internal fun HeldRun.ofEarlierProcess(leasedUntilMs: Long): HeldRun {
-    val earlierMs = (start as? StartState.OfEarlierProcess)?.untilMs ?: 0
+    val earlier = start as? StartState.OfEarlierProcess
     return copy(
-        start = StartState.OfEarlierProcess(maxOf(earlierMs, leasedUntilMs), hasStarted),
+        start = StartState.OfEarlierProcess(
+            maxOf(earlier?.untilMs ?: 0, leasedUntilMs),
+            hasStarted,
+            earlier?.hasFailed ?: false
+        ),
         stopRequested = true,
         stopSentMs = null,
         stopAcceptedMs = null
--- a/src/main/kotlin/dev/jackdawdale/push/Reconciliation.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/Reconciliation.kt
@@ -49,7 +49,7 @@
         val listed = running[taskId]?.takeIf { it.run == number }
         when {
             end != null && run.endsWith(end, nowMs) -> events += endOf(run, end)
-            end != null -> remaining[taskId] = run.started(nowMs)
+            end != null -> remaining[taskId] = run.endedLater(end, nowMs)
             listed != null -> remaining[taskId] = run.confirmed(listed, nowMs)
             taskId in report.unclear -> remaining[taskId] = run
             !report.hasMoreEnds && run.cannotStart(report.clockMs, askedAtMs, nowMs) ->
@@ -82,6 +82,16 @@
     end.checkpoint.ifEmpty { run.checkpoint }
 )
 
+/** The run after a later process has listed an end of it; the worker lists it only once. */
+private fun HeldRun.endedLater(end: EndedRun, nowMs: Long): HeldRun {
+    val started = started(nowMs)
+    val start = started.start as? StartState.OfEarlierProcess ?: return started
+    return started.copy(
+        start = start.copy(hasFailed = start.hasFailed || end.end == ListedEnd.FAILED),
+        checkpoint = end.checkpoint.ifEmpty { checkpoint }
+    )
+}
+
 private fun HeldRun.started(nowMs: Long): HeldRun = copy(
     start = when (start) {
         is StartState.Confirmed -> start
--- a/src/test/kotlin/dev/jackdawdale/push/ReconciliationTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/ReconciliationTest.kt
@@ -133,6 +133,30 @@
             }
         }
 
+        context("what a later process lists of an earlier one's run is lost with its end") {
+            withData(
+                nameFn = { it.name },
+                EndCase("success", ListedEnd.DONE, RunResult.SUCCEEDED),
+                EndCase("failure", ListedEnd.FAILED, RunResult.FAILED),
+                EndCase("stop", ListedEnd.STOPPED, RunResult.INTERRUPTED),
+                EndCase("expired lease", ListedEnd.LAPSED, RunResult.INTERRUPTED)
+            ) { case ->
+                val end = EndedRun(7, task, 2, case.end, "saved")
+                val earlier = StartState.OfEarlierProcess(NOW_MS, hasStarted = false)
+                val run = held(earlier, stopAcceptedMs = ASKED_AT_MS)
+                val first = reconcile(run, report(ended = listOf(end)))
+                val second = reconcileReport(
+                    first.held,
+                    report(),
+                    ASKED_AT_MS,
+                    first.lastEnd,
+                    nowMs = NOW_MS + 1
+                )
+                first.events + second.events shouldBe
+                    listOf(StagedEvent.RunEnded(task, 2, case.result, "saved"))
+            }
+        }
+
         test("a run is ended as interrupted although a later report may list its end") {
             val run = held(StartState.Confirmed(ASKED_AT_MS - 1))
             reconcile(run, report().copy(hasMoreEnds = true)).events shouldBe emptyList()
