--- a/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/RunReports.kt
@@ -4,6 +4,7 @@
 import dev.jackdawdale.staged.PushWorker
 import dev.jackdawdale.staged.RunResult
 import dev.jackdawdale.staged.StagedEvent
+import dev.jackdawdale.staged.task
 import org.apache.logging.log4j.LogManager
 
 private val log = LogManager.getLogger("dev.jackdawdale.push")
@@ -120,7 +121,8 @@
         reconciled.events.forEach { context.recordSpeed(pass, link, it) }
         reconciled.events.forEach { context.endRun(pass, it, EndEvidence.REPORTED) }
         reconciled.unexpected.forEach { stopUnexpected(link, it) }
-        reconciled.unexpectedSuccesses.forEach { logUnexpectedSuccess(link, it) }
+        reconciled.unexpectedSuccesses.filter { isUnknown(pass, it) }
+            .forEach { logUnexpectedSuccess(link, it) }
         link.decidedEnd = reconciled.lastEnd
         if (reconciled.lastEnd > link.acknowledgedEnd) {
             // Before the ends are durable and acknowledged, the worker would list them again.
@@ -163,6 +165,10 @@
         context.dependencies.calls.stop(link.worker, listed.taskId, listed.run, token) {}
     }
 
+    /** A new leader sees ends again that an earlier one has recorded. */
+    private fun isUnknown(pass: Pass, end: EndedRun): Boolean =
+        end.taskId?.let { pass.state.staged.task(it) }?.succeeded == false
+
     /** A task whose run has succeeded unknown to the leader may have been started again. */
     private fun logUnexpectedSuccess(link: WorkerLink, end: EndedRun) = log.warn(
         "worker {} boot {} lists {} run {} as done, which is not placed there",
--- a/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StagedLeader.kt
@@ -65,7 +65,9 @@
                     StartState.Inherited,
                     progressMs = nowMs,
                     resumed = true,
-                    estimatedMs = spec.estimatedMs
+                    estimatedMs = spec.estimatedMs,
+                    // An earlier leader may have repeated it; a ticket is of one process only.
+                    orderUnanswered = job.terms.advice == null
                 )
                 val link = linkFor(placement, leasedUntilMs, nowMs)
                 val isOfProcess = link.worker.boot == placement.workerBoot
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -38,7 +38,7 @@
             .map { withIdleTime(it, nowMs) }
 
     private fun withIdleTime(step: ReadyStep, nowMs: Long): ReadyStep =
-        step.copy(idleMs = idle.idleMs(step.id.jobId, step.job.terms.service, nowMs))
+        step.copy(idleMs = idle.idleMs(step, nowMs))
 
     /** Updates which steps of the job may start. */
     fun refresh(state: StagedState, jobId: String) {
@@ -74,7 +74,7 @@
         favorOverdueGangs(waiting, ceilings, nowMs)
         val gateOpen = ranking.isGateOpen(nowMs)
         val (eligible, heldBack) = waiting.map { it.step }.partition { step ->
-            (gateOpen || !step.job.beyondRate || step.endsHolds) &&
+            (gateOpen || !step.job.beyondRate || step.goesAhead) &&
                 ceilings.tasksAllowed(step) > 0
         }
         heldBack.forEach { reservations.drop(it.id) }
@@ -206,7 +206,7 @@
         val waitsForOthers = tasksAllowed > 0 &&
             !isQueued &&
             step.job.beyondRate &&
-            !step.endsHolds &&
+            !step.goesAhead &&
             !ranking.mayUseSpare(round)
         when {
             tasksAllowed == 0 -> recordSkipped(step, nowMs) {
