Let one overdue gang at a time keep a part of its room

Cause: one overdue gang at a time has a plan, but a gang whose call is under way didn't count. Each overdue gang in turn got a plan, called, and kept the places that it had found; the next one got what was left. Together they held most of the idle room, each lacked a part of its own, and all of them called again (hold and wait). The share of the room that may be reserved was passed as well.

Change: while an overdue gang keeps a part of its room during a call, no other one gets a plan. One whose whole set has room, and that only lacks tickets, bars nobody.

--- a/src/test/kotlin/dev/jackdawdale/push/OverdueGangsTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/OverdueGangsTest.kt
@@ -42,6 +42,7 @@
 /** @property plans the workers that are kept for each gang */
 private class OverdueCase(
     val guardsAgainst: String,
+    val isWhole: Boolean,
     val isAnswered: Boolean,
     val plans: List<Set<String>?>
 )
@@ -88,7 +89,7 @@
     val first = gangs.first()
     reservations.beginPass(gangs, usable, NOW_MS)
     ask(first, asked)
-    reservations.keepDuringCall(first.id, asked.map { it.worker.workerId })
+    reservations.keepDuringCall(first.id, asked.map { it.worker.workerId }, case.isWhole)
     reservations.endPass()
     if (case.isAnswered) answer()
     reservations.beginPass(gangs, usable, NOW_MS)
@@ -100,8 +101,21 @@
         context("which of two overdue gangs has a plan while the first one has asked") {
             withData(
                 nameFn = { it.guardsAgainst },
+                OverdueCase(
+                    "each of them keeps a part of the room, and neither starts",
+                    isWhole = false,
+                    isAnswered = false,
+                    listOf(null, null)
+                ),
+                OverdueCase(
+                    "one that is about to start bars the next one",
+                    isWhole = true,
+                    isAnswered = false,
+                    listOf(null, setOf("w3", "w4", "w5"))
+                ),
                 OverdueCase(
                     "its next plan is for other workers than those of its tickets",
+                    isWhole = false,
                     isAnswered = true,
                     listOf(setOf("w0", "w1", "w2"), null)
                 )
