Add a lease that an unnoticed restart extends

The order goes to the new life before any call failed, so no token refuses it, and the deadline on the former clock gives the longest lease.

--- a/src/test/kotlin/dev/jackdawdale/push/RestartedWorkersTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/push/RestartedWorkersTest.kt
@@ -68,6 +68,16 @@
 }
 
 private val leaseCases = listOf(
+    RestartCase("a lease that the former process's clock extends, by an unnoticed restart") {
+        var orders = 0
+        fateOf = { kind, worker ->
+            if (kind == CallKind.START && orders++ == 0) restart(worker)
+            CallFate.Answered
+        }
+        waitUntil { busy.isNotEmpty() }
+        cut(busy.single(), 9_000)
+        advance(9_000)
+    },
     RestartCase("a lease that the former process's clock extends, by a repeated order") {
         var orders = 0
         fateOf = { kind, worker ->
