End the longer holds of idle steps after two seconds again

At one second BeyondRateTest fails: a job beyond its customer's rate starts while others wait. That a wide step's call may end 0.5 s past the 3 s is left open.

--- a/src/main/kotlin/dev/jackdawdale/push/AdviceRequests.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceRequests.kt
@@ -156,7 +156,7 @@
 
     /** Others may use the room for which a step beyond the rate waits. */
     private fun mayReserve(round: PlacementRound, step: ReadyStep): Boolean =
-        round.gateOpen || !step.job.beyondRate || step.goesAhead
+        round.gateOpen || !step.job.beyondRate || step.endsHolds
 
     /**
      * Whether a call about the step may be made now. Long calls of steps that are too late to be
--- a/src/main/kotlin/dev/jackdawdale/push/CustomerLedger.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/CustomerLedger.kt
@@ -74,7 +74,7 @@
         val use = ledger.use(contract.customerId)
         val isIdle = use.allows(contract, use.held, use.tasks)
         val kept = favored[contract.customerId]
-            ?.takeIf { it.id != step.id && !(isIdle && step.goesAhead) }
+            ?.takeIf { it.id != step.id && !(isIdle && step.endsHolds) }
             ?.let { CustomerUse().withTasks(it.spec.perTask, it.waiting.size) }
         val claimed = claims[contract.customerId].takeIf { !(isIdle && step.goesAhead) }
         val planned = listOfNotNull(claimed, kept).fold(use) { sum, part -> sum + part }
--- a/src/main/kotlin/dev/jackdawdale/push/IdleSteps.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/IdleSteps.kt
@@ -4,19 +4,25 @@
 import dev.jackdawdale.staged.placements
 
 /**
- * After this time without a run, a step goes ahead. Its call for advice takes up to 1.5 s more, and
- * no job may be without a run for 3 s in an idle cell.
+ * After this time without a run, a step goes ahead of what others are to get later. Its call for
+ * advice takes up to 1.5 s more, and no job may be without a run for 3 s in an idle cell.
  */
 private const val GOES_AHEAD_AFTER_MS = 1_000L
 
+/** The same for holds that end by themselves sooner in most cases. */
+private const val HOLDS_END_AFTER_MS = 2_000L
+
 /** A step that goes ahead takes at most half of the room that fits it. */
 private const val ROOM_FACTOR = 2
 
+/** Whether the step uses what is kept for others that don't start yet. */
+internal val ReadyStep.goesAhead: Boolean get() = idleMs >= GOES_AHEAD_AFTER_MS
+
 /**
- * Whether the step uses what is kept for others that don't start yet, and waits no longer for a
- * better place, for a gang of its customer, or, beyond its customer's rate, for the others' steps.
+ * Whether the step no longer waits for a better place, for a gang of its customer below the
+ * ceiling, or, beyond its customer's rate, for the steps of others.
  */
-internal val ReadyStep.goesAhead: Boolean get() = idleMs >= GOES_AHEAD_AFTER_MS
+internal val ReadyStep.endsHolds: Boolean get() = idleMs >= HOLDS_END_AFTER_MS
 
 /**
  * How long jobs have had no run while under half of their service's processors were in use and
--- a/src/main/kotlin/dev/jackdawdale/push/PlaceWaits.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/PlaceWaits.kt
@@ -130,7 +130,7 @@
             waitedMs = nowMs - (entry.sinceMs ?: nowMs),
             expectedMs = { expectedMs(place, missing(it), nowMs) }
         )
-        val decision = if (step.goesAhead) LocalityDecision(0) else policy(wait)
+        val decision = if (step.endsHolds) LocalityDecision(0) else policy(wait)
         if (entry.waits != decision.waiting > 0) {
             entry.waits = decision.waiting > 0
             if (entry.waits) entry.sinceMs = entry.sinceMs ?: nowMs
--- a/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepPlacement.kt
@@ -74,7 +74,7 @@
         favorOverdueGangs(waiting, ceilings, nowMs)
         val gateOpen = ranking.isGateOpen(nowMs)
         val (eligible, heldBack) = waiting.map { it.step }.partition { step ->
-            (gateOpen || !step.job.beyondRate || step.goesAhead) &&
+            (gateOpen || !step.job.beyondRate || step.endsHolds) &&
                 ceilings.tasksAllowed(step) > 0
         }
         heldBack.forEach { reservations.drop(it.id) }
@@ -206,7 +206,7 @@
         val waitsForOthers = tasksAllowed > 0 &&
             !isQueued &&
             step.job.beyondRate &&
-            !step.goesAhead &&
+            !step.endsHolds &&
             !ranking.mayUseSpare(round)
         when {
             tasksAllowed == 0 -> recordSkipped(step, nowMs) {
