Plan a gang on the room that it kept during its call

What callers saw: wide jobs without a run for 15 s and more after the traffic had ended, while the leader called the adviser about them once a second.

Cause: in the pass that takes the answer, the room that the gang kept during its call still counted as reserved when its next plan was made. The plan took other workers, for which it had no tickets; the gang asked about these and gave the first ones up. So it went to and fro between two sets of workers, and never had all tickets and all room.

Change: the own room is free for the own plan.

--- a/src/main/kotlin/dev/jackdawdale/push/StepReservations.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepReservations.kt
@@ -120,7 +120,12 @@
             // The first one may exceed the share: otherwise the widest gang might never start.
             if (found.isNotEmpty() && needMillis > (leftMillis[service] ?: 0)) return
             tries--
-            val plan = plan(step, usable[service].orEmpty(), reserved, ends, nowMs) ?: return
+            // The room that was kept during its own call comes first: its tickets are for that.
+            val own = planned[step.id].orEmpty()
+            reserved.remove(own, each)
+            val plan = plan(step, usable[service].orEmpty(), reserved, ends, nowMs)
+            reserved.add(own, each)
+            if (plan == null) return
             if (!isUseful(plan)) return
             found[step.id] = plan
             leftMillis.merge(service, -needMillis, Long::plus)
