Let one overdue gang at a time keep a part of its room

Cause: one overdue gang at a time has a plan, but a gang whose call is under way didn't count. Each overdue gang in turn got a plan, called, and kept the places that it had found; the next one got what was left. Together they held most of the idle room, each lacked a part of its own, and all of them called again (hold and wait). The share of the room that may be reserved was passed as well.

Change: while an overdue gang keeps a part of its room during a call, no other one gets a plan. One whose whole set has room, and that only lacks tickets, bars nobody.

--- a/src/main/kotlin/dev/jackdawdale/push/AdviceRequests.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/AdviceRequests.kt
@@ -137,7 +137,7 @@
         context.advice.request(step.id, terms, asked, ranked.rank, nowMs)
         round.callsRequested++
         if (reserves && intended.isNotEmpty()) {
-            reservations.keepDuringCall(step.id, intended.toList())
+            reservations.keepDuringCall(step.id, intended.toList(), isWhole = !isWaitingGang)
         }
         return true
     }
--- a/src/main/kotlin/dev/jackdawdale/push/StepReservations.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/StepReservations.kt
@@ -26,6 +26,9 @@
 
     /** Workers that are reserved for steps while their call to the adviser is in flight. */
     private val planned = HashMap<StepId, Collection<String>>()
+
+    /** Those of [planned] that hold a part of their room and wait for the rest. */
+    private val partial = HashSet<StepId>()
     private var plans: Map<StepId, GangPlan> = emptyMap()
 
     val isEnabled: Boolean get() = limits.gangs > 0
@@ -84,14 +87,20 @@
         reserved.add(plan.workerIds, step.spec.reservedPerTask, plan.startMs)
     }
 
-    /** Reserves the workers until the call about the step is answered. */
-    fun keepDuringCall(stepId: StepId, workerIds: Collection<String>) {
+    /**
+     * Reserves the workers until the call about the step is answered.
+     *
+     * @param isWhole whether all of them have room already
+     */
+    fun keepDuringCall(stepId: StepId, workerIds: Collection<String>, isWhole: Boolean) {
         planned[stepId] = workerIds
+        if (isWhole) partial -= stepId else partial += stepId
     }
 
     /** Drops the reservations of calls that did not start. */
     fun endPass() {
         planned.keys.retainAll(context.advice::isCallInFlight)
+        partial.retainAll(planned.keys)
     }
 
     private fun reserveGangs(
@@ -131,11 +140,11 @@
             leftMillis.merge(service, -needMillis, Long::plus)
             reserved.add(plan.workerIds, each, plan.startMs)
         }
-        val overdue = candidates.filter { nowMs > it.latestStartMs + OVERDUE_MS }
-            .sortedBy { it.latestStartMs }
+        val overdue = candidates.filter { it.isOverdue(nowMs) }.sortedBy { it.latestStartMs }
+        val isKept = isRoomKept(waiting, nowMs)
         // One that its workers can't hold has no plan, and must not bar the others.
         for (step in overdue) {
-            if (found.isNotEmpty()) break
+            if (isKept || found.isNotEmpty()) break
             reserve(step) { true }
         }
         candidates.filter { it.latestStartMs - nowMs in 0 until RESERVE_BEFORE_MS }
@@ -143,6 +152,16 @@
         return found
     }
 
+    /**
+     * Whether an overdue gang keeps a part of its room during a call. A second one would keep what
+     * the first one lacks, and neither would ever start.
+     */
+    private fun isRoomKept(waiting: List<ReadyStep>, nowMs: Long): Boolean = waiting.any {
+        it.id in partial && it.isOverdue(nowMs) && context.advice.isCallInFlight(it.id)
+    }
+
+    private fun ReadyStep.isOverdue(nowMs: Long) = nowMs > latestStartMs + OVERDUE_MS
+
     private fun plan(
         step: ReadyStep,
         usable: List<WorkerLink>,
