--- a/review/standins-2/Cell.java
+++ b/review/standins-2/Cell.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -27,7 +28,10 @@
         final String role;
         final String ip;
         final Path data;
-        Process process;
+        volatile Process process;
+
+        /** Exit statuses of processes that ended by themselves. */
+        final List<Integer> ownEnds = new CopyOnWriteArrayList<>();
 
         Machine(String name, String role, String ip, Path data) {
             this.name = name;
@@ -65,6 +69,7 @@
     private final int readyPort;
     private final int controlPort;
     private final int[] internal;
+    private volatile boolean closing;
     private String seeds = "";
     String adviser = "";
 
@@ -202,6 +207,29 @@
         return Arrays.asList(matcher.group(1).split(" "));
     }
 
+    /** From now on, starts processes again that end by themselves, as the platform does. */
+    void restartEnded(long delayMs) {
+        Thread thread = new Thread(() -> {
+            while (true) {
+                for (Machine machine : machines) {
+                    if (machine.process.isAlive() || closing) continue;
+                    machine.ownEnds.add(machine.process.exitValue());
+                    log("%s has ended by itself, status %d", machine.name,
+                            machine.process.exitValue());
+                    pause(delayMs);
+                    try {
+                        if (!closing) start(machine, false);
+                    } catch (IOException e) {
+                        log("cannot start %s: %s", machine.name, e.getMessage());
+                    }
+                }
+                pause(50);
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     /** Sends SIGKILL, as a loss of power does to a process. */
     void kill(Machine machine) {
         machine.process.destroyForcibly();
@@ -367,7 +395,8 @@
     }
 
     @Override
-    public void close() {
+    public synchronized void close() {
+        closing = true;
         for (Machine machine : machines) {
             if (machine.process != null) machine.process.destroyForcibly();
         }
