--- a/review/standins-3/Cell.java
+++ b/review/standins-3/Cell.java
@@ -80,6 +80,19 @@
     private boolean closed;
     private int nextMinion = 1;
 
+    /** Bounds and contracts of the site; a case may change them before the processes start. */
+    final Map<String, Object> bounds = Json.map("seedLagS", 3L, "addressReuseS", 2L,
+        "contactMs", 3000L, "ackTimeoutMs", 4000L, "catchUpS", 4L, "drainMs", 2000L,
+        "graceS", 6L, "lossSlackMs", 200L, "configApplyMs", 2000L, "rollbackSlackMs", 250L,
+        "maxStretchMs", 5000L, "recoveryS", 12L, "maxHoldMs", 6000L, "stopTimeoutMs", 400L,
+        "gangTimeoutMs", 3000L, "cancel_ms", 3000L, "visible_ms", 3000L, "early_ms", 250L,
+        "finish_s", 14L, "status_s", 120L, "remoteFactor", 1.5, "checkpointS", 1L,
+        "restoreMs", 100L, "noticeMs", 4500L, "migrateS", 1.5, "maintenanceS", 2L,
+        "requireFencing", false, "leaseMs", 3000L, "thawSlackMs", 300L, "pacingMs", 100L,
+        "violationMs", 4000L);
+    List<String> contracts = List.of(
+        "base", "drain", "config", "cost", "recover", "sched", "advice", "upkeep", "sharing");
+
     /** Time that the adviser takes for a call, and for each worker in it. */
     double decisionMs = 13;
     double perWorkerMs = 0.13;
@@ -214,23 +227,14 @@
             "seeds", seeds, "bootstrap", bootstrap,
             "countsAsLoss", machineClass.equals("core"), "discovery", "registry",
             "entry", "vip", "heartbeatMs", 1500L,
-            "contracts", List.of("base", "drain", "config", "cost", "recover", "sched", "advice",
-                "upkeep", "sharing"),
+            "contracts", contracts,
             "config_mode", "highest", "orders", "invoke", "advice", worldAddress(),
             "zones", Json.map("kochi", "kerala"), "listen", listen,
             "limits", Json.map("cpuShare", 0.75, "cores", 1L, "memoryMb", 430L, "maxFds", 4200L,
                 "linkMbps", 1000.0, "diskMb", machineClass.equals("core") ? 128L : 0L),
             "faultTolerance", Json.map("machines", (long) (cores - 1) / 2, "zones", 0L,
                 "regions", 0L),
-            "bounds", Json.map("seedLagS", 3L, "addressReuseS", 2L, "contactMs", 3000L,
-                "ackTimeoutMs", 4000L, "catchUpS", 4L, "drainMs", 2000L, "graceS", 6L,
-                "lossSlackMs", 200L, "configApplyMs", 2000L, "rollbackSlackMs", 250L,
-                "maxStretchMs", 5000L, "recoveryS", 12L, "maxHoldMs", 6000L,
-                "stopTimeoutMs", 400L, "gangTimeoutMs", 3000L, "cancel_ms", 3000L,
-                "visible_ms", 3000L, "early_ms", 250L, "finish_s", 14L, "status_s", 120L,
-                "remoteFactor", 1.5, "checkpointS", 1L, "restoreMs", 100L, "noticeMs", 4500L,
-                "migrateS", 1.5, "maintenanceS", 2L, "requireFencing", false, "leaseMs", 3000L,
-                "thawSlackMs", 300L, "pacingMs", 100L, "violationMs", 4000L),
+            "bounds", bounds,
             "cloud", Json.map("address", prefix + "41:" + (portBase + 21), "ratePerS", 60.0,
                 "duties", List.of(), "dutiesPerS", 60.0));
         if (machineClass.equals("core")) {
@@ -255,6 +259,18 @@
         note("SIGKILL to " + name);
     }
 
+    /** Stops a process as the platform does, and starts it again with its disk. */
+    void restart(String name, long graceMs) throws Exception {
+        Process process = processes.get(name);
+        process.destroy();
+        note("SIGTERM to " + name);
+        if (!process.waitFor(graceMs, TimeUnit.MILLISECONDS)) process.destroyForcibly();
+        process.waitFor();
+        note(name + " has ended");
+        Cell.sleep(300);
+        startCore(Integer.parseInt(name.substring(name.indexOf('-') + 1)), false);
+    }
+
     /** The core machine that leads, or null: the others redirect a read of the manifest. */
     String leader() {
         for (int i = 1; i <= cores; i++) {
@@ -376,7 +392,8 @@
             "listen=" + prefix + (30 + slot) + ":" + minionPort(),
             "address=" + prefix + (30 + slot) + ":" + (minionPort() + 10), "service=" + SERVICE,
             "zone=kochi", "cpu=" + MINION_CPU, "memMb=" + MINION_MEM_MB, "labels=a,r1-" + slot,
-            "heartbeatMs=1500", "maxHoldMs=6000", "gangTimeoutMs=3000",
+            "heartbeatMs=1500", "maxHoldMs=" + bounds.get("maxHoldMs"),
+            "gangTimeoutMs=" + bounds.get("gangTimeoutMs"),
             "controls=" + String.join(",", controls()), "world=" + worldAddress());
         minion.process = new ProcessBuilder(command)
             .redirectError(folder.resolve(minion.id + ".log").toFile()).start();
