Report how many more control hosts the cell can lose

The log shows the six members, none of them a learner, but not whether the leader waits for something, lacks a vote or counts a host that is gone: `the quorum is lost` comes only when it is too late.

The leader now counts the voters that take its entries and answer, less the quorum. The number is in the log when it changes, in the metric jackdawdale_tolerated_losses and in `cell status`. A new leader starts with itself, since it knows nothing of the others yet. The metrics of the replicated log have a class of their own, so that every control host serves them, not only those of the platform.

--- a/src/main/kotlin/dev/jackdawdale/control/ControlObserver.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ControlObserver.kt
@@ -24,6 +24,8 @@
  * @property refused a command was refused and nothing ran
  * @property passFinished a pass ended, with its duration in nanoseconds
  * @property quorumLost whether too few replicas have their disks for a leader to be elected
+ * @property toleratedLosses how many more replicas the cell can lose and still have a quorum; null
+ *   when this replica does not lead
  * @property roleChanged this replica became leader (true) or follower (false) in a term
  */
 internal data class ControlObserver(
@@ -31,5 +33,6 @@
     val refused: (Refusal) -> Unit = {},
     val passFinished: (nanos: Long) -> Unit = {},
     val roleChanged: (leading: Boolean, term: Long) -> Unit = { _, _ -> },
-    val quorumLost: (Boolean) -> Unit = {}
+    val quorumLost: (Boolean) -> Unit = {},
+    val toleratedLosses: (Int?) -> Unit = {}
 )
--- a/src/main/kotlin/dev/jackdawdale/control/QueryHandler.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/QueryHandler.kt
@@ -192,6 +192,7 @@
         term = leading.term,
         commitIndex = log.commitIndex,
         replicas = log.replicas,
+        toleratedLosses = log.toleratedLosses,
         entryHosts = state.entryHosts.keys.sortedBy { it.value },
         waitingRequests = state.requests.values.count { it.placement == null },
         placedRequests = state.requests.values.count { it.placement != null },
--- a/src/main/kotlin/dev/jackdawdale/control/ReplicatedLog.kt
+++ b/src/main/kotlin/dev/jackdawdale/control/ReplicatedLog.kt
@@ -26,12 +26,14 @@
  * The status of the log.
  *
  * @property quorumHeardAtMs time of the leader's last contact with a quorum that includes itself
+ * @property toleratedLosses how many more replicas the cell can lose; null unless this one leads
  */
 internal data class LogStatus(
     val term: Long,
     val commitIndex: Long,
     val leader: HostId?,
     val quorumHeardAtMs: Long,
+    val toleratedLosses: Int?,
     val replicas: List<ReplicaView>
 )
 
--- a/src/main/kotlin/dev/jackdawdale/host/CommittedEvents.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/CommittedEvents.kt
@@ -17,6 +17,7 @@
 import dev.jackdawdale.routing.sizeOf
 import dev.jackdawdale.telemetry.CellMeters
 import dev.jackdawdale.telemetry.Dimension
+import dev.jackdawdale.telemetry.ReplicaMeters
 import dev.jackdawdale.telemetry.WorkClass
 import dev.jackdawdale.timeline.EventKind
 import dev.jackdawdale.timeline.Timeline
@@ -26,7 +27,11 @@
 private const val PACKING_INTERVAL_MS = 1_000L
 
 /** Creates the observer that updates the timeline, metrics and log of a control process. */
-internal fun controlObserver(timeline: Timeline, meters: CellMeters): ControlObserver {
+internal fun controlObserver(
+    timeline: Timeline,
+    meters: CellMeters,
+    replicaMeters: ReplicaMeters
+): ControlObserver {
     val metrics = CommittedMetrics(meters)
     return ControlObserver(
         committed = { committed ->
@@ -44,7 +49,9 @@
             val kind = if (leading) EventKind.LEADER_ELECTED else EventKind.LEADERSHIP_LOST
             timeline.record(kind, "leader", details = "term $term")
             log.info(if (leading) "leads in term {}" else "no longer leads, term {}", term)
-        }
+        },
+        quorumLost = replicaMeters::setQuorumLost,
+        toleratedLosses = replicaMeters::setToleratedLosses
     )
 }
 
--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -157,6 +157,7 @@
             becameLeader = loop::becameLeader,
             lostLeadership = loop::lostLeadership,
             quorumLost = observer.quorumLost,
+            toleratedLosses = observer.toleratedLosses,
             storageFailed = storageFailed
         ),
         ReplicaThreads(control, storageThread, background),
@@ -285,6 +286,7 @@
             commitIndex = status.commitIndex,
             leader = status.leader,
             quorumHeardAtMs = status.quorumHeardAtMs ?: 0,
+            toleratedLosses = status.toleratedLosses,
             replicas = status.members.map {
                 ReplicaView(
                     it.replicaId.value,
--- a/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
@@ -14,6 +14,7 @@
 import dev.jackdawdale.storage.StorageError
 import dev.jackdawdale.telemetry.CellMeters
 import dev.jackdawdale.telemetry.LogConfig
+import dev.jackdawdale.telemetry.ReplicaMeters
 import dev.jackdawdale.telemetry.configureLogging
 import dev.jackdawdale.telemetry.prometheusRegistry
 import dev.jackdawdale.timeline.EventKind
@@ -51,7 +52,7 @@
         ControlRole(
             settings,
             peer,
-            controlObserver(timeline, CellMeters(registry)),
+            controlObserver(timeline, CellMeters(registry), ReplicaMeters(registry)),
             clock,
             ::storageFailed
         )
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -27,6 +27,7 @@
 import dev.jackdawdale.settings.Settings
 import dev.jackdawdale.settings.defaultSettings
 import dev.jackdawdale.storage.StorageError
+import dev.jackdawdale.telemetry.ReplicaMeters
 import dev.jackdawdale.telemetry.prometheusRegistry
 import dev.jackdawdale.wire.ControlClient
 import dev.jackdawdale.wire.ControlClientCallbacks
@@ -99,6 +100,7 @@
     private val outgoing = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val registry = settings.metrics?.let { prometheusRegistry(settings.hostName) }
     private val meters = registry?.let(::PushMeters) ?: PushMeters()
+    private val replicaMeters = registry?.let(::ReplicaMeters) ?: ReplicaMeters()
     private val rejected = RejectedBodies(registry ?: CompositeMeterRegistry(), clock)
     private val client =
         PlatformClient(HttpCaller(HttpCallerSettings(), outgoing), pushSettings, rejected)
@@ -110,7 +112,8 @@
             ControlObserver(
                 passFinished = meters::recordPass,
                 roleChanged = ::roleChanged,
-                quorumLost = meters::setQuorumLost
+                quorumLost = replicaMeters::setQuorumLost,
+                toleratedLosses = replicaMeters::setToleratedLosses
             ),
             clock,
             ::storageFailed,
--- a/src/main/kotlin/dev/jackdawdale/push/PushMeters.kt
+++ b/src/main/kotlin/dev/jackdawdale/push/PushMeters.kt
@@ -17,9 +17,6 @@
 internal class PushMeters(private val registry: MeterRegistry = CompositeMeterRegistry()) {
     private val refusedCustomers = HashSet<String>()
 
-    @Volatile
-    private var quorumLost = false
-
     @Volatile
     private var waiting: Map<WaitReason, Int> = emptyMap()
     val customers = CustomerMeters(registry)
@@ -63,9 +60,6 @@
     )
 
     init {
-        Gauge.builder("jackdawdale.quorum.lost") { if (quorumLost) 1 else 0 }
-            .description("Whether too few control hosts have their disks to elect a leader")
-            .register(registry)
         WaitReason.entries.forEach { reason ->
             Gauge.builder("jackdawdale.steps.waiting") { waiting[reason] ?: 0 }
                 .description("Steps that wait, by what they lack")
@@ -77,11 +71,6 @@
             .register(registry)
     }
 
-    /** Whether too few control hosts have their disks for a leader to be elected. */
-    fun setQuorumLost(lost: Boolean) {
-        quorumLost = lost
-    }
-
     /** Number of waiting steps; empty at a replica that does not lead. */
     fun setWaitingSteps(byReason: Map<WaitReason, Int>) {
         waiting = byReason
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
@@ -157,6 +157,27 @@
     if (id == self) nowMs else peers[id]?.lastHeardMs ?: NEVER_MS
 }
 
+/**
+ * The number of voters, this leader included, that have taken entries from it and were heard from
+ * within a timeout. A new leader takes the others' silence from its election on, so that it doesn't
+ * count those from which it has had no reply at all.
+ */
+internal fun RaftState.answeringVoters(nowMs: Long): Int {
+    val timeoutMs = electionTimeoutMs(nowMs)
+    return membership.voters.count { voter ->
+        val peer = peers[voter.replicaId]
+        voter.replicaId == self ||
+            (peer != null && peer.matchIndex > 0 && nowMs - peer.lastHeardMs <= timeoutMs)
+    }
+}
+
+/**
+ * How many more voters the cell can lose and still have a quorum, as far as this leader knows.
+ * Negative while it has none.
+ */
+internal fun RaftState.toleratedLosses(nowMs: Long): Int =
+    answeringVoters(nowMs) - membership.quorum
+
 /** The greatest value that a quorum of voters has reached. */
 internal inline fun RaftState.quorumValue(valueOf: (ReplicaId) -> Long): Long {
     val values = membership.voters.map { valueOf(it.replicaId) }.sortedDescending()
--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -68,6 +68,7 @@
     private var helloDueMs = 0L
     private val laggingMemberLog = LaggingMemberLog()
     private val lostQuorum = LostQuorumWatch(callbacks.quorumLost)
+    private val lossMargin = LossMarginWatch(callbacks.toleratedLosses)
     private var stopped = false
     private var storageError: StorageError? = null
     private var writes = mutableListOf<StorageWrite>()
@@ -91,6 +92,7 @@
         takeSnapshotIfDue()
         laggingMemberLog.tick(state, nowMs)
         lostQuorum.tick(state, nowMs)
+        lossMargin.tick(state, nowMs)
         val others = state.membership.members.map { it.hostId }.filter { it != settings.hostId }
         fetcher?.tick(others, nowMs)
     }
--- a/src/main/kotlin/dev/jackdawdale/replica/ReplicaCallbacks.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/ReplicaCallbacks.kt
@@ -16,6 +16,7 @@
  *   proposals are accepted
  * @property lostLeadership entries proposed in the term and not applied yet may or may not commit
  * @property quorumLost whether too few voters have their disks for a leader to be elected
+ * @property toleratedLosses how many more voters may be lost; null when this replica does not lead
  * @property storageFailed the replica has stopped until the process is restarted
  */
 internal class ReplicaCallbacks(
@@ -26,5 +27,6 @@
     val becameLeader: (term: Long) -> Unit = {},
     val lostLeadership: (term: Long) -> Unit = {},
     val quorumLost: (Boolean) -> Unit = {},
+    val toleratedLosses: (Int?) -> Unit = {},
     val storageFailed: (error: StorageError) -> Unit = {}
 )
--- a/src/main/kotlin/dev/jackdawdale/replica/ReplicaFactory.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/ReplicaFactory.kt
@@ -11,6 +11,7 @@
 import dev.jackdawdale.raft.quorumHeardMs
 import dev.jackdawdale.raft.raftLog
 import dev.jackdawdale.raft.raftState
+import dev.jackdawdale.raft.toleratedLosses
 import dev.jackdawdale.records.RecordStore
 import dev.jackdawdale.storage.ReplicaStorage
 import dev.jackdawdale.storage.StorageError
@@ -97,6 +98,7 @@
             )
         },
         quorumHeardAtMs = if (leads) state.quorumHeardMs(nowMs) else null,
+        toleratedLosses = if (leads) state.toleratedLosses(nowMs) else null,
         storageError = storageError
     )
 }
--- a/src/main/kotlin/dev/jackdawdale/replica/ReplicaStatus.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/ReplicaStatus.kt
@@ -11,6 +11,8 @@
  * @property ready it leads and accepts proposals
  * @property leader host of the leader, when known
  * @property quorumHeardAtMs latest time since which a quorum was heard from; null unless it leads
+ * @property toleratedLosses how many more voters may be lost before there is no quorum; null unless
+ *   it leads
  * @property storageError why the replica has stopped, or null
  */
 internal data class ReplicaStatus(
@@ -25,6 +27,7 @@
     val snapshotIndex: Long,
     val members: List<MemberStatus>,
     val quorumHeardAtMs: Long?,
+    val toleratedLosses: Int?,
     val storageError: StorageError?
 )
 
--- a/src/main/kotlin/dev/jackdawdale/wire/Reply.kt
+++ b/src/main/kotlin/dev/jackdawdale/wire/Reply.kt
@@ -82,6 +82,12 @@
     @SerialName("queue")
     data class Queue(val entries: List<QueueEntry>, val total: Int, val asOfMs: Long) : Reply
 
+    /**
+     * The state of the cell.
+     *
+     * @property toleratedLosses how many more replicas may be lost before there is no quorum; null
+     *   when the leader runs a version that does not tell
+     */
     @Serializable
     @SerialName("cellStatus")
     data class CellStatus(
@@ -89,6 +95,7 @@
         val term: Long,
         val commitIndex: Long,
         val replicas: List<ReplicaView>,
+        val toleratedLosses: Int? = null,
         val entryHosts: List<HostId>,
         val waitingRequests: Int,
         val placedRequests: Int,
--- a/src/test/kotlin/dev/jackdawdale/control/FakeCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/control/FakeCell.kt
@@ -56,7 +56,7 @@
             index
         },
         confirmLeadership = { _, onResult -> pendingReads.addLast(onResult) },
-        status = { LogStatus(1, nextIndex - 1, HostId("c1"), nowMs, emptyList()) }
+        status = { LogStatus(1, nextIndex - 1, HostId("c1"), nowMs, 0, emptyList()) }
     )
 
     val loop = ControlLoop(
--- a/src/test/kotlin/dev/jackdawdale/replica/TestCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/TestCell.kt
@@ -56,6 +56,7 @@
         var storageError: StorageError? = null
         var leadsTerm: Long? = null
         var quorumLost = false
+        var toleratedLosses: Int? = null
         private var starts = 0
         private val control = ArrayDeque<Runnable>()
         private val disk = ArrayDeque<Runnable>()
@@ -67,6 +68,7 @@
             applied = emptyList()
             leadsTerm = null
             quorumLost = false
+            toleratedLosses = null
             val settings = adjust(
                 ReplicaSettings(hostId, hostIds, seed = random.nextLong())
             )
@@ -117,6 +119,7 @@
             becameLeader = { leadsTerm = it },
             lostLeadership = { leadsTerm = null },
             quorumLost = { quorumLost = it },
+            toleratedLosses = { toleratedLosses = it },
             storageFailed = { storageError = it }
         )
     }
