Let a stopping host leave the membership once a successor has joined

Callers saw: after a planned replacement of a control host (the new one first, then SIGTERM) two others lost their disks, as many as the cell is set up for.

Cause: the successor is promoted while the old host still runs, so the cell has six voters and a quorum of four. A host that stopped handed over its leadership and no more; the leader removed it 3 s after its last answer. Until then the cell bears one loss, not two.

Ruled out: a successor without a vote (the log shows no learner), a change in progress (none was open), lost data (three hosts have it), a reset of the silence by the handover alone (the same without one: the row in which a follower stops fails as well).

Ruled out as a fix: swapping the two in one entry. Three of the old five and three of the new five need not share a voter, so two leaders could commit in turn.

Change: a host that stops asks the leader whether it is still needed and ends once that is decided and committed, within its grace period. While there are more members than the cell needs, the leader removes it; its own vote helps to commit that, so the quorum never counts a host that is gone. Without a surplus it stays a member, as in any rolling restart. A member that was removed and only restarts joins again by itself. A leader hands over first and never removes itself. The join and leave requests moved from Replica to MembershipRequests.

--- a/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ControlRole.kt
@@ -16,6 +16,7 @@
 import dev.jackdawdale.push.PushSettings
 import dev.jackdawdale.push.StagedControl
 import dev.jackdawdale.push.WorkerClient
+import dev.jackdawdale.raft.Departure
 import dev.jackdawdale.raft.RaftMessage
 import dev.jackdawdale.records.recordStore
 import dev.jackdawdale.replica.ProposeResult
@@ -43,6 +44,7 @@
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
 import java.util.concurrent.atomic.AtomicBoolean
 import org.apache.logging.log4j.LogManager
 
@@ -214,6 +216,24 @@
         return false
     }
 
+    /**
+     * Asks the leader to remove this replica if the cell has more than it needs, and waits until
+     * that is decided: the others may need its vote until then. Returns false without a decision
+     * within [timeoutMs].
+     */
+    fun leave(timeoutMs: Long): Boolean {
+        val decided = CompletableFuture<Departure>()
+        runOnControlThread { replica.leave(clock(), decided::complete) }
+        return try {
+            val departure = decided.get(timeoutMs, TimeUnit.MILLISECONDS)
+            log.info("this replica stops and is {} as a member", departure.name.lowercase())
+            true
+        } catch (e: TimeoutException) {
+            log.warn("this replica stops as a member: no decision within {} ms", timeoutMs, e)
+            false
+        }
+    }
+
     override fun close() {
         network.close()
         CompletableFuture.runAsync(replica::stop, control).get()
--- a/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
+++ b/src/main/kotlin/dev/jackdawdale/platform/PlatformHost.kt
@@ -184,16 +184,18 @@
     }
 
     /**
-     * Reports not ready, hands leadership over, waits until the load balancer has removed the host
-     * and drains calls in flight.
+     * Reports not ready, hands leadership over, waits until the load balancer has removed the host,
+     * drains calls in flight and leaves the membership if a successor has joined.
      */
     fun stop() {
         stopping = true
+        val endMs = clock() + settings.gracePeriodMs - EXIT_MARGIN_MS
         log.info("host {} is stopping", settings.hostName)
         control?.transferLeadership()
         if (settings.readiness != null) Thread.sleep(BALANCER_NOTICE_MS)
         val leftMs = settings.gracePeriodMs - BALANCER_NOTICE_MS - EXIT_MARGIN_MS
         runBlocking { servers.forEach { it.drain(leftMs) } }
+        control?.leave(timeoutMs = maxOf(endMs - clock(), 0))
         control?.close()
         log.info("host {} has stopped", settings.hostName)
     }
--- a/src/main/kotlin/dev/jackdawdale/raft/MembershipChange.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/MembershipChange.kt
@@ -52,13 +52,45 @@
     changeMembers(MemberChange.Remove(old.replicaId))
 }
 
+/** What becomes of a member that announced its stop, as far as a replica knows. */
+internal enum class Departure {
+    /** It is no member any more, and the removal is committed. */
+    REMOVED,
+
+    /** The cell has no more members than it needs: it stays a member and may come back. */
+    KEPT,
+
+    /** Not decided, or decided and not committed; until then its vote may be needed. */
+    PENDING
+}
+
+/** What becomes of the member [id] when it stops; only a leader decides that. */
+internal fun RaftState.departureOf(id: ReplicaId): Departure = when {
+    !ready || log.membershipIndex > commitIndex -> Departure.PENDING
+    membership.member(id) == null -> Departure.REMOVED
+    hasSurplusMember -> Departure.PENDING
+    else -> Departure.KEPT
+}
+
+/**
+ * Removes a stopping member while there are more than `targetMembers`. It may have a successor, and
+ * a quorum that still counts it bears one loss less once it is gone. If it only restarts, it joins
+ * again.
+ */
+internal fun StepScope.leave(id: ReplicaId) {
+    if (!state.ready || !state.hasSurplusMember || state.membership.member(id) == null) return
+    if (id == state.self || !keepsQuorumSize(id)) return
+    changeMembers(MemberChange.Remove(id))
+}
+
+private val RaftState.hasSurplusMember: Boolean
+    get() = settings.targetMembers.let { it != null && membership.members.size > it }
+
 /** Removes the member silent for longest while there are more than `targetMembers`. */
 internal fun StepScope.removeSurplusMember() {
-    val target = state.settings.targetMembers ?: return
-    val members = state.membership.members
-    if (!state.ready || members.size <= target) return
+    if (!state.ready || !state.hasSurplusMember) return
     if (state.log.membershipIndex > state.commitIndex) return
-    val silent = members
+    val silent = state.membership.members
         .filter { it.replicaId != state.self }
         .mapNotNull { member -> state.peers[member.replicaId]?.let { member to it.lastHeardMs } }
         .filter { (_, heardMs) -> nowMs - heardMs > state.settings.replaceAfterMs }
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftInput.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftInput.kt
@@ -27,6 +27,9 @@
     /** A replica with a new ID on [hostId] asks to join. */
     data class Join(val replicaId: ReplicaId, val hostId: HostId) : RaftInput
 
+    /** The member [replicaId] stops, for good or to start again. */
+    data class Leave(val replicaId: ReplicaId) : RaftInput
+
     /** No configured host holds a log; this replica starts one with [membership]. */
     data class Bootstrap(val membership: Membership) : RaftInput
 
--- a/src/main/kotlin/dev/jackdawdale/raft/RaftMessage.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftMessage.kt
@@ -162,6 +162,16 @@
     val leader: HostId? = null
 ) : RaftMessage
 
+/** Sent by a member that stops, until the reply is final. */
+@Serializable
+@SerialName("leave")
+internal data class Leave(override val from: ReplicaId) : RaftMessage
+
+/** The leader's reply to [Leave]. */
+@Serializable
+@SerialName("leaveReply")
+internal data class LeaveReply(override val from: ReplicaId, val departure: Departure) : RaftMessage
+
 /** Asks for records from [number] on; [offset] continues a record that did not fit. */
 @Serializable
 @SerialName("recordFetch")
--- a/src/main/kotlin/dev/jackdawdale/raft/Step.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/Step.kt
@@ -30,6 +30,7 @@
         RaftInput.TransferLeadership -> scope.startTransfer()
         is RaftInput.ChangeMembers -> scope.changeMembers(input.change)
         is RaftInput.Join -> scope.join(input)
+        is RaftInput.Leave -> scope.leave(input.replicaId)
         is RaftInput.Bootstrap -> scope.bootstrap(input.membership)
         is RaftInput.SnapshotTaken -> scope.snapshotTaken(input)
         is RaftInput.SnapshotInstalled -> scope.snapshotInstalled(input.meta)
--- a/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/Replica.kt
@@ -2,9 +2,12 @@
 
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.raft.ConsensusMessage
+import dev.jackdawdale.raft.Departure
 import dev.jackdawdale.raft.Entry
 import dev.jackdawdale.raft.Hello
 import dev.jackdawdale.raft.HelloReply
+import dev.jackdawdale.raft.Leave
+import dev.jackdawdale.raft.LeaveReply
 import dev.jackdawdale.raft.MemberChange
 import dev.jackdawdale.raft.RaftEffect
 import dev.jackdawdale.raft.RaftInput
@@ -13,7 +16,6 @@
 import dev.jackdawdale.raft.RecordBatch
 import dev.jackdawdale.raft.RecordFetch
 import dev.jackdawdale.raft.Role
-import dev.jackdawdale.raft.isBlank
 import dev.jackdawdale.raft.lastIndex
 import dev.jackdawdale.raft.lastTerm
 import dev.jackdawdale.raft.member
@@ -50,7 +52,8 @@
         ::fail
     )
     private val assembler = CommandAssembler()
-    private val bootstrap = CellBootstrap(settings.hostId, settings.hosts)
+    private val membershipRequests =
+        MembershipRequests(settings, { state }, { run(it) }, callbacks.send)
     private val snapshots = Snapshots(
         settings,
         callbacks,
@@ -65,7 +68,6 @@
     }
     private var appliedIndex = state.commitIndex
     private var nowMs = 0L
-    private var helloDueMs = 0L
     private val laggingMemberLog = LaggingMemberLog()
     private val lostQuorum = LostQuorumWatch(callbacks.quorumLost)
     private val lossMargin = LossMarginWatch(callbacks.toleratedLosses)
@@ -88,7 +90,7 @@
         if (stopped) return
         this.nowMs = nowMs
         run(RaftInput.Tick)
-        joinOrFormCell()
+        membershipRequests.tick(nowMs)
         takeSnapshotIfDue()
         laggingMemberLog.tick(state, nowMs)
         lostQuorum.tick(state, nowMs)
@@ -103,8 +105,14 @@
         this.nowMs = nowMs
         when (message) {
             is ConsensusMessage -> run(RaftInput.Receive(from, message))
-            is Hello -> onHello(from, message)
-            is HelloReply -> bootstrap.onReply(message, nowMs)
+            is Hello -> {
+                lostQuorum.asksToJoin(from, message.from)
+                membershipRequests.onHello(from, message)
+            }
+
+            is HelloReply -> membershipRequests.onHelloReply(message, nowMs)
+            is Leave -> membershipRequests.onLeave(from, message)
+            is LeaveReply -> membershipRequests.onLeaveReply(message)
             is RecordFetch -> fetcher?.serve(from, message)
             is RecordBatch -> fetcher?.onBatch(from, message, nowMs)
         }
@@ -144,6 +152,17 @@
         run(RaftInput.TransferLeadership)
     }
 
+    /**
+     * Announces that this replica stops; from now on it doesn't ask to join. Calls [onResult] once
+     * the leader has decided whether it stays a member. Until then it should keep running, as the
+     * others may need its vote.
+     */
+    fun leave(nowMs: Long, onResult: (Departure) -> Unit) {
+        if (stopped) return
+        this.nowMs = nowMs
+        membershipRequests.leave(nowMs, onResult)
+    }
+
     /** Changes one member; at most one change is in progress at any time. */
     fun changeMembers(change: MemberChange, nowMs: Long, onResult: (ChangeResult) -> Unit) {
         if (stopped) return onResult(ChangeResult.Refused("the replica has stopped"))
@@ -274,43 +293,6 @@
         callbacks.lostLeadership(effect.term)
     }
 
-    private fun onHello(from: HostId, message: Hello) {
-        lostQuorum.asksToJoin(from, message.from)
-        val reply =
-            HelloReply(
-                state.self,
-                settings.hostId,
-                state.isBlank,
-                settings.mayFormCell,
-                leaderHost()
-            )
-        callbacks.send(from, reply)
-        val mayJoin = settings.allowUnlistedHosts ||
-            from in settings.hosts ||
-            state.membership.members.any { it.hostId == from }
-        if (state.ready && mayJoin) run(RaftInput.Join(message.from, from))
-    }
-
-    /**
-     * Asks to join, or forms the first membership, while no leader is heard from. A member asks as
-     * well: it may have been removed while it was cut off.
-     */
-    private fun joinOrFormCell() {
-        val hasLiveLeader = nowMs - state.leaderHeardMs < settings.raft.electionTimeoutMs
-        if (hasLiveLeader || state.role == Role.LEADER) return
-        val mayForm = state.isBlank && settings.mayFormCell
-        val first = if (mayForm) bootstrap.firstMembership(state.self, nowMs) else null
-        if (first != null) {
-            run(RaftInput.Bootstrap(first))
-        } else if (nowMs >= helloDueMs) {
-            helloDueMs = nowMs + settings.helloEveryMs
-            val members = state.membership.members.map { it.hostId } - settings.hostId
-            (bootstrap.hostsToAsk + members).forEach {
-                callbacks.send(it, Hello(state.self, settings.hostId))
-            }
-        }
-    }
-
     /** Stops permanently after a failed write: what the disk holds is no longer certain. */
     private fun fail(error: StorageError) {
         if (storageError != null) return
--- a/src/main/kotlin/dev/jackdawdale/replica/ReplicaSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/ReplicaSettings.kt
@@ -12,6 +12,8 @@
  * @property retainedEntries entries kept before a snapshot, so that a replica that lacks only a
  *   few does not need the snapshot
  * @property retainedBytes size limit of the retained entries
+ * @property leaveEveryMs how often a stopping replica asks whether it is still needed; a commit
+ *   takes less on a calm cell
  * @property mayFormCell whether a blank replica may form the first membership
  * @property allowUnlistedHosts whether hosts outside of [hosts] may join as replicas
  * @property seed seed of the election timeouts; must differ between replicas
@@ -25,6 +27,7 @@
     val retainedEntries: Long = 5_000,
     val retainedBytes: Long = 16L * 1024 * 1024,
     val helloEveryMs: Long = 200,
+    val leaveEveryMs: Long = 50,
     val mayFormCell: Boolean = true,
     val allowUnlistedHosts: Boolean = false,
     val seed: Long = hostId.value.hashCode().toLong()
--- /dev/null
+++ b/src/test/kotlin/dev/jackdawdale/replica/ReplacedMemberTest.kt
@@ -0,0 +1,270 @@
+package dev.jackdawdale.replica
+
+import dev.jackdawdale.model.HostId
+import dev.jackdawdale.raft.RaftSettings
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withData
+import io.kotest.matchers.collections.shouldContainAll
+import io.kotest.matchers.shouldBe
+
+private const val LIMIT_MS = 30_000L
+
+/** Shortest time that a deployment grants a new host before it counts as able to be needed. */
+private const val CATCH_UP_MS = 4_000L
+
+/** Time from the announcement of a stop until the process is killed. */
+private const val GRACE_MS = 5_000L
+private const val SEEDS = 5L
+
+/**
+ * A cell in which hosts are replaced. Hosts beyond the first [members] start as successors.
+ *
+ * @property tolerated number of hosts with a disk that may be lost at a time
+ */
+private class ReplacementPlay(val members: Int, seed: Long) {
+    val tolerated = members / 2
+    private val gone = mutableSetOf<HostId>()
+    private var isFirstStart = true
+    val cell = TestCell(seed, members + 2) {
+        it.copy(
+            hosts = (it.hosts - gone).take(members),
+            allowUnlistedHosts = true,
+            mayFormCell = isFirstStart,
+            raft = RaftSettings(
+                electionTimeoutMs = 360,
+                heartbeatMs = 80,
+                disconnectedLeaderTimeoutMs = 160,
+                startupElectionDelayMs = 160,
+                targetMembers = members
+            )
+        )
+    }
+    private val all = cell.nodes.values.toList()
+    val originals = all.take(members)
+    val follower: TestCell.TestNode get() = originals.first { it != cell.leader && it.isUp }
+
+    /** When each started host that is new, or came back without its disk, must be able to be needed. */
+    private val readyAtMs = mutableMapOf<HostId, Long>()
+
+    val TestCell.TestNode.isUp: Boolean get() = replica != null
+
+    fun start() {
+        originals.forEach { it.start() }
+        isFirstStart = false
+        cell.runUntil(LIMIT_MS) { votersUp() == members } shouldBe true
+        commit()
+    }
+
+    fun commit() {
+        val before = cell.committed.size
+        cell.runUntil(LIMIT_MS) {
+            cell.leader?.replica?.propose("c${cell.nowMs}".encodeToByteArray(), cell.nowMs)
+            cell.committed.size > before
+        } shouldBe true
+    }
+
+    private fun votersUp(): Int {
+        val status = cell.leader?.replica?.status(cell.nowMs) ?: return 0
+        val up = all.filter { it.isUp }.map { it.storage.replicaId }
+        return status.members.count { it.voter && it.replicaId in up }
+    }
+
+    fun startSuccessor(number: Int = 0): TestCell.TestNode = all[members + number].apply {
+        start()
+        readyAtMs[hostId] = cell.nowMs + CATCH_UP_MS
+    }
+
+    fun awaitVote(node: TestCell.TestNode) = cell.runUntil(LIMIT_MS) {
+        val voters = cell.leader?.replica?.status(cell.nowMs)?.members.orEmpty()
+        voters.any { it.voter && it.replicaId == node.storage.replicaId }
+    } shouldBe true
+
+    fun stop(node: TestCell.TestNode) {
+        gone += node.hostId
+        node.stop(GRACE_MS)
+    }
+
+    fun kill(node: TestCell.TestNode) {
+        gone += node.hostId
+        node.crash()
+    }
+
+    /** Loses the disk of a host that comes back at once. */
+    fun wipe(node: TestCell.TestNode) {
+        node.loseDisk()
+        node.start()
+        readyAtMs[node.hostId] = cell.nowMs + CATCH_UP_MS
+    }
+
+    fun restart(node: TestCell.TestNode) {
+        node.stop(GRACE_MS)
+        node.start()
+        readyAtMs[node.hostId] = cell.nowMs + CATCH_UP_MS
+    }
+
+    fun changeLeader() {
+        val old = cell.leader!!
+        old.replica!!.transferLeadership(cell.nowMs)
+        cell.runUntil(LIMIT_MS) { cell.leader.let { it != null && it != old } } shouldBe true
+    }
+
+    /** Waits until nothing counts as lost, then loses as many disks as are tolerated, all at once. */
+    fun loseDisksWhenNothingIsLost() {
+        val readyMs = readyAtMs.filterKeys { it !in gone }.values.maxOrNull() ?: 0
+        cell.runUntil(LIMIT_MS) { cell.nowMs >= readyMs }
+        commit()
+        val candidates = all.filter { it.isUp }.shuffled(cell.random)
+        val lost = candidates.take(tolerated)
+        lost.forEach { it.loseDisk() }
+        lost.forEach { it.start() }
+        withClue("leader after the loss of ${lost.map { it.hostId }}") {
+            cell.runUntil(LIMIT_MS) { cell.leader != null && votersUp() == members } shouldBe true
+        }
+        cell.leader!!.applied shouldContainAll cell.committed.values
+    }
+}
+
+private class ReplacementRow(val name: String, val play: ReplacementPlay.() -> Unit)
+
+private val rows = listOf(
+    ReplacementRow("the old host stops once its successor votes") {
+        val old = follower
+        awaitVote(startSuccessor())
+        cell.runFor(CATCH_UP_MS)
+        stop(old)
+    },
+    ReplacementRow("the old host leads and stops once its successor votes") {
+        val old = cell.leader!!
+        awaitVote(startSuccessor())
+        cell.runFor(CATCH_UP_MS)
+        stop(old)
+    },
+    ReplacementRow("the old host stops while its successor is a learner") {
+        val old = follower
+        val successor = startSuccessor()
+        cell.runUntil(LIMIT_MS) {
+            val known = cell.leader?.replica?.status(cell.nowMs)?.members.orEmpty()
+            known.any { it.replicaId == successor.storage.replicaId }
+        } shouldBe true
+        stop(old)
+    },
+    ReplacementRow("the old host stops before its successor starts") {
+        stop(follower)
+        startSuccessor()
+    },
+    ReplacementRow("the old host leads and fails before its successor starts") {
+        kill(cell.leader!!)
+        cell.runFor(1_000)
+        startSuccessor()
+    },
+    ReplacementRow("the leader changes while the old host stops") {
+        val old = follower
+        awaitVote(startSuccessor())
+        cell.runFor(CATCH_UP_MS)
+        cell.leader!!.replica!!.transferLeadership(cell.nowMs)
+        stop(old)
+    },
+    ReplacementRow("two hosts are replaced at once") {
+        val old = originals.filter { it != cell.leader }.take(2)
+        val successors = List(2) { startSuccessor(it) }
+        successors.forEach(::awaitVote)
+        cell.runFor(CATCH_UP_MS)
+        old.forEach { it.beginStop() }
+        old.forEach { stop(it) }
+    },
+    ReplacementRow("two hosts are replaced one after the other") {
+        val (first, second) = originals.filter { it != cell.leader }
+        awaitVote(startSuccessor())
+        stop(first)
+        awaitVote(startSuccessor(1))
+        stop(second)
+    },
+    ReplacementRow("a host is replaced right after another came back without its disk") {
+        val (old, wiped) = originals.filter { it != cell.leader }
+        val successor = startSuccessor()
+        wipe(wiped)
+        awaitVote(successor)
+        stop(old)
+    },
+    ReplacementRow("the successor is lost and a second one starts before the old host stops") {
+        val old = follower
+        val lost = startSuccessor()
+        awaitVote(lost)
+        kill(lost)
+        awaitVote(startSuccessor(1))
+        cell.runFor(CATCH_UP_MS)
+        stop(old)
+    },
+    ReplacementRow("another host restarts before the old one stops") {
+        val (old, other) = originals.filter { it != cell.leader }
+        awaitVote(startSuccessor())
+        restart(other)
+        cell.runFor(CATCH_UP_MS)
+        stop(old)
+    },
+    ReplacementRow("another host restarts right after the old one stopped") {
+        val (old, other) = originals.filter { it != cell.leader }
+        awaitVote(startSuccessor())
+        stop(old)
+        restart(other)
+    },
+    ReplacementRow("all hosts restart in turn before the old one stops") {
+        val old = follower
+        awaitVote(startSuccessor())
+        originals.forEach(::restart)
+        cell.runFor(CATCH_UP_MS)
+        stop(old)
+    },
+    ReplacementRow("the old host is cut off, its successor votes, and it wakes after its removal") {
+        val old = follower
+        cell.cutOff += old.hostId
+        awaitVote(startSuccessor())
+        cell.runFor(CATCH_UP_MS)
+        cell.cutOff -= old.hostId
+        cell.runFor(200)
+        stop(old)
+    },
+    ReplacementRow("the old host is cut off until it is killed at the end of its grace period") {
+        val old = follower
+        awaitVote(startSuccessor())
+        cell.runFor(CATCH_UP_MS)
+        cell.cutOff += old.hostId
+        stop(old)
+    }
+)
+
+class ReplacedMemberTest :
+    FunSpec({
+        // A host that is gone must not count in the quorum any longer than the contract says: the
+        // tolerated number of lost disks would leave no quorum, and never a leader again.
+        context("the tolerated losses leave no leader after a replacement") {
+            rows.forEach { row ->
+                context(row.name) {
+                    withData(
+                        nameFn = { (members, seed) -> "$members members, seed $seed" },
+                        listOf(3, 5).flatMap { members -> (1..SEEDS).map { members to it } }
+                    ) { (members, seed) ->
+                        ReplacementPlay(members, seed).apply {
+                            start()
+                            row.play(this)
+                            loseDisksWhenNothingIsLost()
+                        }
+                    }
+                }
+            }
+        }
+
+        test("a restart without a successor changes the membership") {
+            ReplacementPlay(members = 5, seed = 1).apply {
+                start()
+                val restarted = follower
+                val id = restarted.storage.replicaId
+                restarted.stop(GRACE_MS)
+                cell.runFor(CATCH_UP_MS)
+                val members = cell.leader!!.replica!!.status(cell.nowMs).members
+                members.count { it.voter } shouldBe 5
+                members.any { it.replicaId == id } shouldBe true
+            }
+        }
+    })
--- a/src/test/kotlin/dev/jackdawdale/replica/TestCell.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/TestCell.kt
@@ -3,6 +3,7 @@
 import dev.jackdawdale.model.HostId
 import dev.jackdawdale.model.cellCbor
 import dev.jackdawdale.raft.Append
+import dev.jackdawdale.raft.Departure
 import dev.jackdawdale.raft.RaftMessage
 import dev.jackdawdale.raft.ReplicaId
 import dev.jackdawdale.raft.Role
@@ -57,6 +58,9 @@
         var leadsTerm: Long? = null
         var quorumLost = false
         var toleratedLosses: Int? = null
+
+        /** What the leader decided about this replica when it stopped, if it did. */
+        var departure: Departure? = null
         private var starts = 0
         private val control = ArrayDeque<Runnable>()
         private val disk = ArrayDeque<Runnable>()
@@ -69,6 +73,7 @@
             leadsTerm = null
             quorumLost = false
             toleratedLosses = null
+            departure = null
             val settings = adjust(
                 ReplicaSettings(hostId, hostIds, seed = random.nextLong())
             )
@@ -85,6 +90,19 @@
             replica = null
         }
 
+        /** Hands leadership over and asks to leave, as a process does when it is told to stop. */
+        fun beginStop() {
+            replica?.transferLeadership(nowMs)
+            replica?.leave(nowMs) { departure = it }
+        }
+
+        /** Stops the process once it is decided whether it stays a member, at the latest after [limitMs]. */
+        fun stop(limitMs: Long) {
+            beginStop()
+            runUntil(limitMs) { departure != null }
+            crash()
+        }
+
         fun loseDisk() {
             crash()
             storage = newStorage()
