Remove a configured control host that was replaced at another address

Operators would see: a control host of a cell with a configured list is replaced at another address, as docs/operators/replace-host.md said, and from then on the cell bears one loss less than before, for ever. With three hosts, the next one that fails stops it.

Only the platform set the number of members to keep; with a configured list none was set, so the host that is gone stayed a voter: four voters, a quorum of three, three hosts.

Change: the number of configured hosts is the number to keep, so that a silent host is removed once its successor has joined. A host that stops asks to leave here too; without a surplus that needs no answer, so that a cell which is stopped as a whole does not wait for a leader.

ReplacedMemberTest has a row in which disks are lost during the stop.

--- a/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/HostProcess.kt
@@ -29,6 +29,9 @@
 private const val STATUS_TIMEOUT_MS = 1_000L
 private const val STORAGE_EXIT_CODE = 74
 
+/** Two election timeouts at their default: the leader may just change. */
+private const val LEAVE_TIMEOUT_MS = 4_000L
+
 /** One process of the system with the roles that its settings name. */
 internal class HostProcess(private val settings: Settings) {
     private val clock = steadyClock()
@@ -85,7 +88,10 @@
         log.info("host {} runs the roles {}", settings.host.id, settings.host.roles)
     }
 
-    /** Finishes the work in flight, transfers leadership and stops. */
+    /**
+     * Finishes the work in flight, transfers leadership, leaves the membership if a successor has
+     * joined, and stops.
+     */
     fun stop() {
         stopping = true
         timeline.record(EventKind.HOST_STOPPING, settings.host.id.value)
@@ -93,6 +99,7 @@
         entry?.let { runBlocking { it.awaitDrained() } }
         runBlocking { http.drain(settings.entry.drainTimeoutMs) }
         control?.transferLeadership()
+        control?.leave(LEAVE_TIMEOUT_MS)
         http.close()
         entry?.close()
         control?.close()
--- a/src/main/kotlin/dev/jackdawdale/host/ProcessSettings.kt
+++ b/src/main/kotlin/dev/jackdawdale/host/ProcessSettings.kt
@@ -71,7 +71,9 @@
     hosts = control.replicas.map { it.hostId },
     raft = RaftSettings(
         electionTimeoutMs = control.electionTimeoutMs,
-        heartbeatMs = control.heartbeatMs
+        heartbeatMs = control.heartbeatMs,
+        // A host that was replaced at another address must not count in the quorum for ever.
+        targetMembers = control.replicas.size.takeIf { it > 0 }
     ),
     snapshotEveryEntries = control.snapshotEveryEntries
 )
--- a/src/main/kotlin/dev/jackdawdale/replica/MembershipRequests.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/MembershipRequests.kt
@@ -11,6 +11,7 @@
 import dev.jackdawdale.raft.RaftState
 import dev.jackdawdale.raft.Role
 import dev.jackdawdale.raft.departureOf
+import dev.jackdawdale.raft.hasSurplusMember
 import dev.jackdawdale.raft.isBlank
 import dev.jackdawdale.raft.member
 import dev.jackdawdale.raft.membership
@@ -41,9 +42,13 @@
         }
     }
 
-    /** Asks to leave and no longer to join; calls [onResult] once the leader has decided. */
+    /**
+     * Asks to leave and no longer to join; calls [onResult] once the leader has decided. Without a
+     * surplus there is nothing to decide, and a cell that is stopped as a whole has no leader.
+     */
     fun leave(nowMs: Long, onResult: (Departure) -> Unit) {
         isLeaving = true
+        if (!state().hasSurplusMember) return onResult(Departure.KEPT)
         onDeparture = onResult
         tick(nowMs)
     }
--- a/src/test/kotlin/dev/jackdawdale/replica/MembershipTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/MembershipTest.kt
@@ -1,7 +1,12 @@
 package dev.jackdawdale.replica
 
+import dev.jackdawdale.host.forReplica
+import dev.jackdawdale.model.HostId
 import dev.jackdawdale.raft.MemberChange
 import dev.jackdawdale.raft.ReplicaId
+import dev.jackdawdale.settings.HostAddress
+import dev.jackdawdale.settings.Settings
+import dev.jackdawdale.settings.defaultSettings
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldNotContain
@@ -29,6 +34,12 @@
 
 private fun TestCell.currentIdentities() = nodes.values.map { it.storage.replicaId }.toSet()
 
+private fun settingsFor(hosts: List<HostId>): Settings {
+    val defaults = defaultSettings()
+    val replicas = hosts.map { HostAddress(it, "127.0.0.1", 7401) }
+    return defaults.copy(control = defaults.control.copy(replicas = replicas))
+}
+
 class MembershipTest :
     FunSpec({
         test("a follower that lost its disk gets a new replica ID and becomes a voter again") {
@@ -145,6 +156,30 @@
             cell.voters() shouldNotContain silent.storage.replicaId
         }
 
+        test("a host replaced at another address counts in the quorum for ever") {
+            var listed = listOf("h1", "h2", "h3").map(::HostId)
+            val cell = TestCell(SEED, 4) {
+                it.copy(hosts = listed, raft = settingsFor(listed).forReplica().raft)
+            }
+            val (first, second, old, successor) = cell.nodes.values.toList()
+            listOf(first, second, old).forEach { it.start() }
+            cell.runUntil(LIMIT_MS) { cell.voters().size == 3 } shouldBe true
+            cell.proposeAll(10)
+            listed = listOf("h1", "h2", "h4").map(::HostId)
+            old.crash()
+            successor.start()
+            for (node in listOf(first, second)) {
+                node.stop(LIMIT_MS)
+                node.start()
+                cell.runUntil(LIMIT_MS) { cell.leader != null } shouldBe true
+            }
+            val current = listOf(first, second, successor).map { it.storage.replicaId }.toSet()
+            cell.runUntil(LIMIT_MS) { cell.voters() == current } shouldBe true
+            second.crash()
+            cell.runUntil(LIMIT_MS) { cell.leader.let { it != null && it != second } } shouldBe true
+            cell.proposeAll(10)
+        }
+
         test("a member removed while it was cut off joins again once it is back") {
             val cell = startedCell { it.copy(raft = it.raft.copy(targetMembers = 2)) }
             val silent = cell.nodes.values.first { it != cell.leader }
--- a/src/test/kotlin/dev/jackdawdale/replica/ReplacedMemberTest.kt
+++ b/src/test/kotlin/dev/jackdawdale/replica/ReplacedMemberTest.kt
@@ -158,6 +158,16 @@
         cell.runFor(1_000)
         startSuccessor()
     },
+    ReplacementRow("disks are lost while the old host stops") {
+        val old = follower
+        awaitVote(startSuccessor())
+        cell.runFor(CATCH_UP_MS)
+        old.beginStop()
+        val others = cell.nodes.values.filter { it != old && it.isUp }
+        others.shuffled(cell.random).take(tolerated).forEach(::wipe)
+        cell.runUntil(GRACE_MS) { old.departure != null }
+        kill(old)
+    },
     ReplacementRow("the leader changes while the old host stops") {
         val old = follower
         awaitVote(startSuccessor())
