--- a/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
+++ b/src/main/kotlin/dev/jackdawdale/raft/RaftState.kt
@@ -15,7 +15,8 @@
  *   replacement at another address takes its place; null keeps every member
  * @property maxInFlightBytes limit of unacknowledged entries sent to one peer; a single larger
  *   entry may exceed it. Keeps a lagging peer from taking CPU time and network from the quorum
- * @property replaceAfterMs silence after which a surplus member may be removed
+ * @property replaceAfterMs silence after which a surplus member may be removed that has answered
+ *   this leader before
  * @property startupElectionDelayMs how long a replica waits for a leader after its start; its
  *   requests for votes do not disturb a leader that a quorum hears from
  * @property termWindowMs the election timeout is multiplied by the number of terms that began
@@ -63,6 +64,7 @@
  * @property inFlight appends without a reply so far
  * @property awaitingReply in [Mode.PROBE] and [Mode.SNAPSHOT]: entries or a chunk have no reply
  * @property lastHeardMs when the last reply came; before the first one, when the wait for it began
+ * @property hasAnswered whether it has replied to this leader, in this term
  * @property chunkSentMs when the last chunk of a snapshot was sent
  */
 internal data class Progress(
--- a/src/main/kotlin/dev/jackdawdale/replica/MembershipRequests.kt
+++ b/src/main/kotlin/dev/jackdawdale/replica/MembershipRequests.kt
@@ -99,7 +99,10 @@
         }
     }
 
-    /** Asks the leader, or all members while none is known. A leader transfers its leadership. */
+    /**
+     * Asks the leader, or all members while none is known. A leader transfers its leadership: once
+     * it had removed itself, it could not tell the others what is committed.
+     */
     private fun askToLeave() {
         if (state().ready) {
             run(RaftInput.TransferLeadership)
